--- /dev/null
+++ b/camphormill/command/command.go
@@ -0,0 +1,128 @@
+// Package command reads the camphormill command line.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+	"github.com/urfave/cli/v3"
+
+	"camphormill.dev/camphormill/publish"
+	"camphormill.dev/parts/commandline"
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/platform"
+	"camphormill.dev/parts/preset"
+)
+
+// Main runs camphormill and returns its exit code.
+func Main(ctx context.Context, args []string) int {
+	root := &cli.Command{
+		Name:     "camphormill",
+		Usage:    "publish presets and watch them take effect",
+		Commands: []*cli.Command{presetVerb(), statusVerb(), commandline.VersionVerb("camphormill")},
+	}
+	return commandline.Run(ctx, root, args, os.Stderr)
+}
+
+func presetVerb() *cli.Command {
+	return &cli.Command{
+		Name: "preset", Usage: "publish, change, activate, show and watch presets",
+		Commands: []*cli.Command{checkVerb(), publishVerb(), changeVerb(), activateVerb(), showVerb(), watchVerb()},
+	}
+}
+
+func logFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "log", Required: true, Usage: "the platform's log is at `URL`",
+		Sources: cli.EnvVars("CAMPHORMILL_LOG"),
+	}
+}
+
+func entryFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name: "entry", Required: true, Usage: "ask the entry whose operations door is at `ADDRESS`; may be repeated",
+		Sources: cli.EnvVars("CAMPHORMILL_ENTRIES"),
+	}
+}
+
+func timeoutFlag(value time.Duration) cli.Flag {
+	return &cli.DurationFlag{Name: "timeout", Value: value, Usage: "give up after `TIME`"}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+}
+
+func baseFlag() cli.Flag {
+	return &cli.Int64Flag{Name: "base", Value: latestBase, Usage: "publish on top of version `OFFSET` instead of the newest"}
+}
+
+// latestBase stands for the version just read.
+const latestBase int64 = -2
+
+// readFile reads JSON with comments into value and refuses unknown fields.
+func readFile(path string, value any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return commandline.Exit(commandline.ExitUsage, errors.Wrap(err, "name an existing file"))
+	}
+	standard, err := hujson.Standardize(raw)
+	if err != nil {
+		return commandline.Exit(commandline.ExitUsage, errors.Wrapf(err, "%s: mend the JSON", path))
+	}
+	decoder := json.NewDecoder(newReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return commandline.Exit(commandline.ExitUsage, errors.Wrapf(err, "%s: mend the field", path))
+	}
+	return nil
+}
+
+// publishRecord publishes and prints the verdict.
+func publishRecord(ctx context.Context, c *cli.Command, r preset.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	p := publish.New(platform.NewHTTPLog(c.String("log")))
+	state, err := p.Load(ctx)
+	if err != nil {
+		return commandline.Exit(commandline.ExitFailed, err)
+	}
+	base := c.Int64("base")
+	if base == latestBase {
+		base = state.Offset
+	}
+	verdict, err := p.Publish(ctx, r, base)
+	if err != nil {
+		return commandline.Exit(commandline.ExitFailed, err)
+	}
+	return printVerdict(c.Root().Writer, c.Bool("json"), verdict)
+}
+
+func printVerdict(w io.Writer, asJSON bool, v preset.Verdict) error {
+	if asJSON {
+		if err := json.NewEncoder(w).Encode(v); err != nil {
+			return err
+		}
+	}
+	if v.Failure != nil {
+		return commandline.Exit(commandline.ExitRefused, refusal(v.Failure))
+	}
+	if asJSON {
+		return nil
+	}
+	_, err := fmt.Fprintf(w, "accepted as version %d\n", v.Offset)
+	return err
+}
+
+func refusal(f *contract.Failure) error {
+	if f.Offset > 0 {
+		return errors.Errorf("refused: %s (version %d)", f.Error(), f.Offset)
+	}
+	return errors.Errorf("refused: %s", f.Error())
+}
--- /dev/null
+++ b/camphormill/command/fleet_verbs.go
@@ -0,0 +1,109 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"camphormill.dev/camphormill/fleet"
+	"camphormill.dev/camphormill/publish"
+	"camphormill.dev/parts/commandline"
+	"camphormill.dev/parts/platform"
+)
+
+// Times of watching.
+const (
+	watchTimeout = time.Minute
+	watchEvery   = 100 * time.Millisecond
+)
+
+func watchVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		offset := c.Int64("version")
+		if offset == latestBase {
+			state, err := publish.New(platform.NewHTTPLog(c.String("log"))).Load(ctx)
+			if err != nil {
+				return commandline.Exit(commandline.ExitFailed, err)
+			}
+			offset = state.Offset
+		}
+		return watch(ctx, c, offset)
+	}
+	return &cli.Command{
+		Name: "watch", Usage: "wait until a version is in force at every live daemon", Action: action,
+		Flags: []cli.Flag{
+			logFlag(), entryFlag(), timeoutFlag(watchTimeout),
+			&cli.Int64Flag{Name: "version", Value: latestBase, Usage: "wait for version `OFFSET` instead of the newest"},
+		},
+		UsageText: "camphormill preset watch --log http://127.0.0.1:7100 --entry 127.0.0.1:7003",
+	}
+}
+
+func watch(ctx context.Context, c *cli.Command, offset int64) error {
+	began := time.Now()
+	f := fleet.New(c.StringSlice("entry"))
+	last := ""
+	for {
+		report, err := f.Ask(ctx)
+		behind := report.Behind(offset)
+		if err == nil && len(behind) == 0 {
+			_, err := fmt.Fprintf(c.Root().Writer, "version %d is in force at %d entries and their targets after %d ms\n",
+				offset, len(report.Entries), time.Since(began).Milliseconds())
+			return err
+		}
+		if now := strings.Join(behind, ", "); now != last {
+			last = now
+			if _, err := fmt.Fprintf(c.Root().Writer, "version %d is missing at: %s\n", offset, now); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-time.After(watchEvery):
+		case <-ctx.Done():
+			return commandline.Exit(commandline.ExitFailed,
+				errors.Errorf("version %d is not in force everywhere yet; missing at: %s; look at these daemons' logs", offset, last))
+		}
+	}
+}
+
+func statusVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		report, err := fleet.New(c.StringSlice("entry")).Ask(ctx)
+		if err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+		if c.Bool("json") {
+			return json.NewEncoder(c.Root().Writer).Encode(report)
+		}
+		return printReport(c.Root().Writer, report)
+	}
+	return &cli.Command{
+		Name: "status", Usage: "show every entry, its version and its targets", Action: action,
+		Flags:     []cli.Flag{entryFlag(), timeoutFlag(publishTimeout), jsonFlag()},
+		UsageText: "camphormill status --entry 127.0.0.1:7003",
+	}
+}
+
+func printReport(w io.Writer, r fleet.Report) error {
+	const padding = 2
+	table := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(table, "ENTRY\tZONE\tVERSION\tPRESET\tTARGETS\tTARGETS AT LEAST")
+	for _, s := range r.Entries {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%d\n", s.Entry, s.Zone, s.ConfigOffset, s.Active, s.Targets.Linked, s.Targets.MinOffset)
+	}
+	for _, address := range r.Silent {
+		fmt.Fprintf(table, "%s\tsilent\t\t\t\t\n", address)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/camphormill/command/preset_verbs.go
@@ -0,0 +1,134 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"camphormill.dev/camphormill/publish"
+	"camphormill.dev/parts/commandline"
+	"camphormill.dev/parts/platform"
+	"camphormill.dev/parts/preset"
+)
+
+// publishTimeout is how long a publication is tried by default.
+const publishTimeout = 15 * time.Second
+
+func newReader(text []byte) io.Reader {
+	return bytes.NewReader(text)
+}
+
+func argument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", commandline.Exit(commandline.ExitUsage, errors.Errorf("name one %s; see %s --help", what, c.FullName()))
+	}
+	return c.Args().First(), nil
+}
+
+func checkVerb() *cli.Command {
+	action := func(_ context.Context, c *cli.Command) error {
+		p, err := presetArgument(c)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(c.Root().Writer, "preset %s is fine\n", p.Name)
+		return err
+	}
+	return &cli.Command{
+		Name: "check", Usage: "check a preset file without publishing it", ArgsUsage: "FILE", Action: action,
+		UsageText: "camphormill preset check examples/majlis/ordinary.jsonc",
+	}
+}
+
+func presetArgument(c *cli.Command) (preset.Preset, error) {
+	path, err := argument(c, "preset file")
+	if err != nil {
+		return preset.Preset{}, err
+	}
+	var p preset.Preset
+	if err := readFile(path, &p); err != nil {
+		return p, err
+	}
+	if f := p.Check(); f != nil {
+		return p, commandline.Exit(commandline.ExitUsage, errors.Wrap(f, path))
+	}
+	return p, nil
+}
+
+func publishVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		p, err := presetArgument(c)
+		if err != nil {
+			return err
+		}
+		return publishRecord(ctx, c, preset.Record{Kind: preset.RecordPreset, Preset: &p})
+	}
+	return &cli.Command{
+		Name: "publish", Usage: "create or replace a preset", ArgsUsage: "FILE", Action: action,
+		Flags:     []cli.Flag{logFlag(), baseFlag(), timeoutFlag(publishTimeout), jsonFlag()},
+		UsageText: "camphormill preset publish --log http://127.0.0.1:7100 examples/majlis/ordinary.jsonc",
+	}
+}
+
+func changeVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		path, err := argument(c, "change file")
+		if err != nil {
+			return err
+		}
+		var change preset.Change
+		if err := readFile(path, &change); err != nil {
+			return err
+		}
+		return publishRecord(ctx, c, preset.Record{Kind: preset.RecordChange, Change: &change})
+	}
+	return &cli.Command{
+		Name: "change", Usage: "change parts of a preset", ArgsUsage: "FILE", Action: action,
+		Flags:     []cli.Flag{logFlag(), baseFlag(), timeoutFlag(publishTimeout), jsonFlag()},
+		UsageText: "camphormill preset change --log http://127.0.0.1:7100 change.jsonc",
+	}
+}
+
+func activateVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		name, err := argument(c, "preset")
+		if err != nil {
+			return err
+		}
+		return publishRecord(ctx, c, preset.Record{Kind: preset.RecordActivate, Activate: name})
+	}
+	return &cli.Command{
+		Name: "activate", Usage: "put a preset in force", ArgsUsage: "NAME", Action: action,
+		Flags:     []cli.Flag{logFlag(), baseFlag(), timeoutFlag(publishTimeout), jsonFlag()},
+		UsageText: "camphormill preset activate --log http://127.0.0.1:7100 peak",
+	}
+}
+
+func showVerb() *cli.Command {
+	action := func(ctx context.Context, c *cli.Command) error {
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		state, err := publish.New(platform.NewHTTPLog(c.String("log"))).Load(ctx)
+		if err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+		encoder := json.NewEncoder(c.Root().Writer)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(struct {
+			Version int64                  `json:"version"`
+			Active  string                 `json:"active"`
+			Presets map[string]preset.Held `json:"presets"`
+		}{state.Offset, state.Active, state.Presets})
+	}
+	return &cli.Command{
+		Name: "show", Usage: "print the presets and which is in force, as JSON", Action: action,
+		Flags:     []cli.Flag{logFlag(), timeoutFlag(publishTimeout)},
+		UsageText: "camphormill preset show --log http://127.0.0.1:7100",
+	}
+}
--- /dev/null
+++ b/entryd/command/settings.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"strconv"
+	"time"
+
+	"camphormill.dev/parts/settings"
+)
+
+// Peer names another entry daemon.
+type Peer struct {
+	Name string `json:"name"`
+	Link string `json:"link"`
+}
+
+// Organisation names a customer and the hash of its key.
+type Organisation struct {
+	Name      string `json:"name"`
+	KeySHA256 string `json:"key_sha256"` // hex
+}
+
+// Settings is the settings file of entryd.
+type Settings struct {
+	Name       string `json:"name"`
+	Zone       string `json:"zone"`
+	Callers    string `json:"callers"`    // address of the callers' door
+	PublicURL  string `json:"public_url"` // how callers reach it
+	Link       string `json:"link"`       // address for other entries
+	Operations string `json:"operations"` // address of /metrics, /healthz, /readyz, /v1/status
+	LogLevel   string `json:"log_level"`
+
+	PlatformLog   string `json:"platform_log"`   // URL
+	PlatformHosts string `json:"platform_hosts"` // URL
+	Peers         []Peer `json:"peers"`
+
+	ReservationKeys []string       `json:"reservation_keys"`
+	Organisations   []Organisation `json:"organisations"`
+
+	Timeout           settings.Duration `json:"timeout"`            // of a request that names none
+	AddressTTL        settings.Duration `json:"address_ttl"`        // how long callers keep an address
+	ReservationWindow settings.Duration `json:"reservation_window"` // how long a reservation holds
+	KeyWindow         settings.Duration `json:"key_window"`         // how long a key is remembered
+	SnapshotAge       settings.Duration `json:"snapshot_age"`
+	HostListEvery     settings.Duration `json:"host_list_every"`
+	Heartbeat         settings.Duration `json:"heartbeat"`
+	SubsetSize        int               `json:"subset_size"` // links for each model or service
+}
+
+// Defaults returns the settings that hold where the file says nothing.
+func Defaults() Settings {
+	return Settings{
+		LogLevel:          "info",
+		Timeout:           settings.Duration(30 * time.Second),
+		AddressTTL:        settings.Duration(10 * time.Second),
+		ReservationWindow: settings.Duration(5 * time.Minute),
+		KeyWindow:         settings.Duration(time.Hour),
+		SnapshotAge:       settings.Duration(10 * time.Minute),
+		HostListEvery:     settings.Duration(time.Second),
+		Heartbeat:         settings.Duration(time.Second),
+		SubsetSize:        32,
+	}
+}
+
+// Check finds what is wrong with the settings.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Name("name", s.Name)
+	c.Name("zone", s.Zone)
+	c.Address("callers", s.Callers)
+	c.Address("link", s.Link)
+	c.Address("operations", s.Operations)
+	c.URL("public_url", s.PublicURL)
+	c.URL("platform_log", s.PlatformLog)
+	c.URL("platform_hosts", s.PlatformHosts)
+	c.Keys("reservation_keys", s.ReservationKeys)
+	c.Positive("timeout", int64(s.Timeout))
+	c.Positive("address_ttl", int64(s.AddressTTL))
+	c.Positive("reservation_window", int64(s.ReservationWindow))
+	c.Positive("key_window", int64(s.KeyWindow))
+	c.Positive("snapshot_age", int64(s.SnapshotAge))
+	c.Positive("host_list_every", int64(s.HostListEvery))
+	c.Positive("heartbeat", int64(s.Heartbeat))
+	c.Positive("subset_size", int64(s.SubsetSize))
+	c.Require(s.KeyWindow >= s.ReservationWindow, "key_window", "shorter than reservation_window",
+		"remember keys at least as long as reservations")
+	s.checkOrganisations(c)
+	for i, p := range s.Peers {
+		field := "peers[" + strconv.Itoa(i) + "]"
+		c.Name(field+".name", p.Name)
+		c.Address(field+".link", p.Link)
+	}
+}
+
+func (s *Settings) checkOrganisations(c *settings.Checker) {
+	c.Require(len(s.Organisations) > 0, "organisations", "empty", "name at least one organisation")
+	const hexLength = 64
+	seen := map[string]string{}
+	for i, o := range s.Organisations {
+		field := "organisations[" + strconv.Itoa(i) + "]"
+		c.Name(field+".name", o.Name)
+		c.Require(len(o.KeySHA256) == hexLength, field+".key_sha256", "no hex SHA-256",
+			"make it with: printf %s KEY | sha256sum")
+		other, twice := seen[o.KeySHA256]
+		c.Require(!twice, field+".key_sha256", "the same as that of "+other, "give each organisation a key of its own")
+		seen[o.KeySHA256] = o.Name
+	}
+}
--- /dev/null
+++ b/entryd/pool/member.go
@@ -0,0 +1,211 @@
+package pool
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/link"
+)
+
+// Redial times of a link that is down.
+const (
+	firstRedial = 50 * time.Millisecond
+	lastRedial  = 2 * time.Second
+)
+
+// callTimeout bounds small calls on a link: hello, heartbeat, settle.
+const callTimeout = time.Second
+
+// silentHeartbeats is how many heartbeats may fail before the link is given up.
+const silentHeartbeats = 3
+
+// member is the link to one target. Its fields are guarded by the pool's lock.
+type member struct {
+	pool    *Pool
+	name    string
+	address string
+	index   int
+	cancel  context.CancelFunc
+	removed bool
+
+	conn           *link.Conn // nil while the link is down
+	incarnation    string
+	clockOffset    time.Duration
+	configOffset   int64
+	leaving        bool
+	suspendedUntil time.Time
+	streams        map[string]*stream
+	changed        chan struct{} // closed and replaced when conn changes
+}
+
+// keep holds the link up until ctx ends.
+func (m *member) keep(ctx context.Context) {
+	redial := firstRedial
+	for ctx.Err() == nil {
+		conn, err := m.connect(ctx)
+		if err != nil {
+			m.pool.sleep(ctx, m.pool.config.Jitter(redial))
+			redial = min(2*redial, lastRedial)
+			continue
+		}
+		redial = firstRedial
+		m.beat(ctx, conn)
+		conn.Close()
+		m.down()
+	}
+}
+
+func (p *Pool) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (m *member) connect(ctx context.Context) (*link.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	raw, err := m.pool.config.Dial(ctx, m.address)
+	if err != nil {
+		return nil, err
+	}
+	conn := link.NewConn(raw, m.methods())
+	var hello contract.Hello
+	asked := m.pool.config.Now()
+	if err := conn.Call(ctx, contract.MethodHello, contract.HelloRequest{Entry: m.pool.config.Entry}, &hello); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	m.up(conn, hello, asked)
+	return conn, nil
+}
+
+func (m *member) up(conn *link.Conn, hello contract.Hello, asked time.Time) {
+	now := m.pool.config.Now()
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if m.removed {
+		return
+	}
+	m.conn = conn
+	m.incarnation = hello.Incarnation
+	m.clockOffset = hello.Clock.Sub(asked.Add(now.Sub(asked) / 2))
+	t := &m.pool.targets[m.index]
+	t.Kind, t.Serves, t.Version = hello.Kind, hello.Serves, hello.Version
+	if hello.Zone != "" {
+		t.Zone = hello.Zone
+	}
+	m.setLoad(hello.Load)
+	m.signal()
+}
+
+func (m *member) down() {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.conn = nil
+	if !m.removed {
+		m.pool.refresh(m)
+	}
+	m.signal()
+}
+
+// signal wakes those who wait for the link to change. The caller holds the lock.
+func (m *member) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// setLoad takes the target's own word about its load. The caller holds the lock.
+func (m *member) setLoad(l contract.Load) {
+	if m.removed {
+		return
+	}
+	t := &m.pool.targets[m.index]
+	t.Load, t.LoadAt, t.Sent = l, m.pool.config.Now(), 0
+	m.leaving = l.Leaving
+	m.pool.refresh(m)
+}
+
+// refresh derives what routing sees of a member. The caller holds the lock.
+func (p *Pool) refresh(m *member) {
+	t := &p.targets[m.index]
+	t.Leaving = m.leaving || p.hosts[m.name].Leaving
+	t.Reached = m.conn != nil && !p.config.Now().Before(m.suspendedUntil)
+}
+
+// beat sends heartbeats until the link is lost or silent.
+func (m *member) beat(ctx context.Context, conn *link.Conn) {
+	ticker := time.NewTicker(m.pool.config.Heartbeat)
+	defer ticker.Stop()
+	failed := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.Done():
+			return
+		case <-ticker.C:
+		}
+		if m.heartbeat(ctx, conn) {
+			failed = 0
+			continue
+		}
+		failed++
+		if failed >= silentHeartbeats {
+			m.pool.config.Log.Warn().Str("target", m.name).Msg("target is silent; closing the link")
+			return
+		}
+	}
+}
+
+func (m *member) heartbeat(ctx context.Context, conn *link.Conn) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var answer contract.Heartbeat
+	request := contract.HeartbeatRequest{ConfigOffset: m.pool.config.ConfigOffset()}
+	if err := conn.Call(ctx, contract.MethodHeartbeat, request, &answer); err != nil {
+		return false
+	}
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.configOffset = answer.ConfigOffset
+	m.setLoad(answer.Load)
+	return true
+}
+
+// methods adds the frames of streamed answers to what a target may ask.
+func (m *member) methods() link.Methods {
+	methods := link.Methods{}
+	for name, method := range m.pool.config.Methods {
+		methods[name] = method
+	}
+	frame := func(_ context.Context, _ *link.Conn, params json.RawMessage) (any, error) {
+		f, err := link.Decode[contract.Frame](params)
+		if err != nil {
+			return nil, err
+		}
+		m.pool.mu.Lock()
+		s := m.streams[f.Attempt]
+		m.pool.mu.Unlock()
+		if s != nil { // a late frame of an attempt that is over is dropped
+			s.push(f)
+		}
+		return nil, nil
+	}
+	methods[contract.MethodFrame] = link.Method{Inline: true, Run: frame}
+	return methods
+}
+
+// DialTCP is the Dial of real links.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	return conn, errors.Wrap(err, "pool")
+}
--- /dev/null
+++ b/entryd/pool/run.go
@@ -0,0 +1,205 @@
+package pool
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/link"
+)
+
+// ErrNotLinked says that a call was never sent: there is no link to the target.
+var ErrNotLinked = errors.New("pool: no link to the target; try another target")
+
+// ErrLost says that the link was lost after the call was sent.
+var ErrLost = errors.New("pool: the link was lost after sending; settle the reservation")
+
+// maxBacklog bounds the frames that wait for a slow caller.
+const maxBacklog = 1 << 16
+
+// stream holds the frames of one attempt that its caller has not taken yet.
+type stream struct {
+	mu       sync.Mutex
+	frames   []contract.Frame
+	arrived  chan struct{} // has one element while frames wait
+	overflow bool
+}
+
+func newStream() *stream {
+	return &stream{arrived: make(chan struct{}, 1)}
+}
+
+func (s *stream) push(f contract.Frame) {
+	s.mu.Lock()
+	if len(s.frames) >= maxBacklog {
+		s.overflow = true
+	} else {
+		s.frames = append(s.frames, f)
+	}
+	s.mu.Unlock()
+	select {
+	case s.arrived <- struct{}{}:
+	default:
+	}
+}
+
+func (s *stream) take() ([]contract.Frame, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frames := s.frames
+	s.frames = nil
+	return frames, s.overflow
+}
+
+// conn returns the live link to a target, linking to it on demand when it is
+// outside this entry's share. It waits until ctx ends.
+func (p *Pool) conn(ctx context.Context, target string) (*member, *link.Conn, error) {
+	for {
+		p.mu.Lock()
+		m, ok := p.members[target]
+		if !ok {
+			h, listed := p.hosts[target]
+			if !listed {
+				p.mu.Unlock()
+				return nil, nil, ErrNotLinked
+			}
+			m = p.ensure(h)
+		}
+		conn, changed := m.conn, m.changed
+		p.mu.Unlock()
+		if conn != nil {
+			return m, conn, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, nil, ErrNotLinked
+		}
+	}
+}
+
+// linkWait bounds how long a call waits for a link.
+const linkWait = callTimeout / 2
+
+// Run sends one attempt and hands its frames to onFrame in order. The error is
+// ErrNotLinked, ErrLost or that of ctx.
+func (p *Pool) Run(ctx context.Context, target string, call contract.Call, onFrame func(contract.Frame)) (contract.Answer, error) {
+	waitCtx, cancel := context.WithTimeout(ctx, linkWait)
+	m, conn, err := p.conn(waitCtx, target)
+	cancel()
+	if err != nil {
+		return contract.Answer{}, err
+	}
+	s := newStream()
+	p.mu.Lock()
+	call.Deadline = call.Deadline.Add(m.clockOffset)
+	m.streams[call.Attempt] = s
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(m.streams, call.Attempt)
+		p.mu.Unlock()
+	}()
+	return p.exchange(ctx, m, conn, call, s, onFrame)
+}
+
+type reply struct {
+	answer contract.Answer
+	err    error
+}
+
+func (p *Pool) exchange(ctx context.Context, m *member, conn *link.Conn, call contract.Call, s *stream, onFrame func(contract.Frame)) (contract.Answer, error) {
+	ended := make(chan reply, 1)
+	go func() {
+		var r reply
+		r.err = conn.Call(ctx, contract.MethodRun, call, &r.answer)
+		ended <- r
+	}()
+	for {
+		select {
+		case <-s.arrived:
+			if overflow := hand(s, onFrame); overflow {
+				p.cancelAttempt(conn, call.Attempt)
+				return contract.Uncertain(contract.NewFailure(contract.KindTooLarge,
+					"the caller took its answer too slowly", "read the stream as it comes")), nil
+			}
+		case r := <-ended:
+			if r.err != nil && ctx.Err() != nil {
+				p.cancelAttempt(conn, call.Attempt)
+				return contract.Answer{}, ctx.Err()
+			}
+			if r.err != nil {
+				return contract.Answer{}, lostOrRefused(r.err)
+			}
+			hand(s, onFrame)
+			p.mu.Lock()
+			m.setLoad(r.answer.Load)
+			p.mu.Unlock()
+			return r.answer, nil
+		}
+	}
+}
+
+// lostOrRefused keeps a typed refusal and turns anything else into ErrLost.
+func lostOrRefused(err error) error {
+	var f *contract.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return ErrLost
+}
+
+func hand(s *stream, onFrame func(contract.Frame)) bool {
+	frames, overflow := s.take()
+	for _, f := range frames {
+		onFrame(f)
+	}
+	return overflow
+}
+
+func (p *Pool) cancelAttempt(conn *link.Conn, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	// If it is lost the target ends the attempt with the link.
+	_ = conn.Notify(ctx, contract.MethodCancel, contract.CancelRequest{Attempt: attempt})
+}
+
+// Settle asks a target what became of a reservation.
+func (p *Pool) Settle(ctx context.Context, target string, r contract.SettleRequest) (contract.Settlement, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, conn, err := p.conn(ctx, target)
+	if err != nil {
+		return contract.Settlement{}, err
+	}
+	var s contract.Settlement
+	err = conn.Call(ctx, contract.MethodSettle, r, &s)
+	return s, err
+}
+
+// StillRuns says whether the incarnation of the target answers within ctx. After
+// a lost link it tells a cut from the death of the target.
+func (p *Pool) StillRuns(ctx context.Context, target, incarnation string) bool {
+	for {
+		m, conn, err := p.conn(ctx, target)
+		if err != nil {
+			return false
+		}
+		p.mu.Lock()
+		same, changed := m.incarnation == incarnation, m.changed
+		p.mu.Unlock()
+		if !same {
+			return false
+		}
+		if m.heartbeat(ctx, conn) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/parts/daemon/daemon.go
@@ -0,0 +1,130 @@
+// Package daemon holds what every daemon's process needs around its services:
+// the logger, the operations door (/metrics, /healthz, /readyz) and the signals
+// that start a graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/kernel"
+)
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// stopTimeout bounds a graceful shutdown.
+const stopTimeout = 10 * time.Minute
+
+// NewLogger returns a logger for one daemon. Each part logs with its own prefix:
+// see Part.
+func NewLogger(w io.Writer, level, name string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Errorf("log level %q is not known; write debug, info, warn or error", level)
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Str("daemon", name).Logger(), nil
+}
+
+// Part returns the logger of one part of a daemon.
+func Part(l zerolog.Logger, part string) zerolog.Logger {
+	return l.With().Str("part", part).Logger()
+}
+
+// Readiness says whether a daemon takes new work.
+type Readiness struct {
+	reason atomic.Pointer[string]
+}
+
+// NewReadiness returns a readiness that is not ready yet for the reason.
+func NewReadiness(reason string) *Readiness {
+	r := &Readiness{}
+	r.NotReady(reason)
+	return r
+}
+
+// Ready marks the daemon ready.
+func (r *Readiness) Ready() {
+	r.reason.Store(nil)
+}
+
+// NotReady marks the daemon not ready for the reason.
+func (r *Readiness) NotReady(reason string) {
+	r.reason.Store(&reason)
+}
+
+// Reason returns why the daemon is not ready, or an empty string.
+func (r *Readiness) Reason() string {
+	if reason := r.reason.Load(); reason != nil {
+		return *reason
+	}
+	return ""
+}
+
+// NewOperationsRouter serves /metrics, /healthz and /readyz.
+func NewOperationsRouter(set *metrics.Set, r *Readiness) chi.Router {
+	router := chi.NewRouter()
+	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := r.Reason(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return router
+}
+
+// HTTPService is a kernel service that serves the handler on an address. Stop
+// lets requests in flight finish.
+func HTTPService(name, address string, needs []string, handler func(k *kernel.Kernel) http.Handler) kernel.Service {
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 32 << 10}
+	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "cannot listen on %s; free the address or set another", address)
+		}
+		server.Handler = handler(k)
+		go func() { _ = server.Serve(listener) }()
+		return server, nil
+	}
+	stop := func(ctx context.Context) error {
+		return server.Shutdown(ctx)
+	}
+	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: stop}
+}
+
+// Run starts the kernel, waits for SIGTERM or an interrupt, and stops it.
+func Run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	// Services outlive the signal: they end when they are stopped.
+	if err := k.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	l.Info().Msg("started")
+	<-ctx.Done()
+	l.Info().Msg("stopping; work in flight finishes first")
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	err := k.Stop(stopCtx)
+	l.Info().Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/parts/kernel/kernel_test.go
@@ -0,0 +1,58 @@
+package kernel_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/kernel"
+)
+
+func Example() {
+	k := kernel.New()
+	k.Register(kernel.Service{
+		Name: "door", Needs: []string{"clock"},
+		Start: func(_ context.Context, k *kernel.Kernel) (any, error) {
+			fmt.Println("door starts with", kernel.Get[string](k, "clock"))
+			return nil, nil
+		},
+		Stop: func(context.Context) error {
+			fmt.Println("door stops")
+			return nil
+		},
+	})
+	k.Register(kernel.Service{Name: "clock", Start: func(context.Context, *kernel.Kernel) (any, error) { return "a clock", nil }})
+	fmt.Println(k.Start(context.Background()))
+	fmt.Println(k.Stop(context.Background()))
+	// Output:
+	// door starts with a clock
+	// <nil>
+	// door stops
+	// <nil>
+}
+
+func TestStartNamesWhatIsWrong(t *testing.T) {
+	cases := map[string]struct {
+		services []kernel.Service
+		want     string
+	}{
+		"missing": {[]kernel.Service{{Name: "a", Needs: []string{"b"}}}, "a needs b, which is not registered"},
+		"circle":  {[]kernel.Service{{Name: "a", Needs: []string{"b"}}, {Name: "b", Needs: []string{"a"}}}, "break the circle"},
+		"twice":   {[]kernel.Service{{Name: "a"}, {Name: "a"}}, "registered twice"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := kernel.New()
+			for _, s := range c.services {
+				k.Register(s)
+			}
+			err := k.Start(context.Background())
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want)) // the message names the services
+		})
+	}
+}
--- /dev/null
+++ b/parts/kernel/loop.go
@@ -0,0 +1,27 @@
+package kernel
+
+import "context"
+
+// Loop is a service that runs until it is stopped. Stop waits for run to return.
+func Loop(name string, needs []string, run func(ctx context.Context, k *Kernel)) Service {
+	var cancel context.CancelFunc
+	done := make(chan struct{})
+	start := func(ctx context.Context, k *Kernel) (any, error) {
+		ctx, cancel = context.WithCancel(ctx)
+		go func() {
+			defer close(done)
+			run(ctx, k)
+		}()
+		return nil, nil
+	}
+	stop := func(ctx context.Context) error {
+		cancel()
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return Service{Name: name, Needs: needs, Start: start, Stop: stop}
+}
--- /dev/null
+++ b/parts/link/server.go
@@ -0,0 +1,120 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Server accepts connections from peers.
+type Server struct {
+	Methods  Methods
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[*Conn]bool
+	closed   bool
+	active   activity
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) {
+	s.mu.Lock()
+	s.listener = l
+	s.conns = map[*Conn]bool{}
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.add(newConn(conn, s.Methods, &s.active))
+	}
+}
+
+func (s *Server) add(c *Conn) {
+	s.mu.Lock()
+	closed := s.closed
+	if !closed {
+		s.conns[c] = true
+	}
+	s.mu.Unlock()
+	if closed {
+		c.Close()
+		return
+	}
+	go func() {
+		<-c.Done()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+}
+
+// Drain waits until every call that was begun has been answered.
+func (s *Server) Drain(ctx context.Context) error {
+	return s.active.wait(ctx)
+}
+
+// Close ends the listener and every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := s.conns
+	s.conns = map[*Conn]bool{}
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	for c := range conns {
+		c.Close()
+	}
+}
+
+// activity counts the calls that were begun and not yet answered.
+type activity struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{} // closed when count returns to zero; nil while nobody waits
+}
+
+func (a *activity) begin() {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count++
+}
+
+func (a *activity) end() {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count--
+	if a.count == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+func (a *activity) wait(ctx context.Context) error {
+	a.mu.Lock()
+	if a.count == 0 {
+		a.mu.Unlock()
+		return nil
+	}
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+	}
+	idle := a.idle
+	a.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds all programs into bin/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p bin
+go build -o bin/ ./camphormill ./entryd ./millload ./standin ./targetd
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Runs the whole path as separate processes on loopback and checks every answer.
+# DEMO_KILL=NAME kills that process with SIGKILL mid-way, for example entry-1,
+# brief-2 or roster-0.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/fleet.sh
+scripts/build.sh
+WORK=$(mktemp -d)
+ADDRESS_TTL=1s
+trap 'fleet_stop; rm -rf "$WORK"' EXIT
+
+echo "== starting 3 entry and 6 target daemons with their stand-ins"
+fleet_start
+bin/camphormill preset publish --log "$LOG_URL" examples/majlis/ordinary.jsonc
+bin/camphormill preset publish --log "$LOG_URL" examples/majlis/peak.jsonc
+bin/camphormill preset activate --log "$LOG_URL" ordinary
+bin/camphormill preset watch --log "$LOG_URL" "${ENTRIES[@]}"
+sleep 2
+
+echo "== replaying a working day"
+KEYS=()
+for pair in "${FLEET_KEYS[@]}"; do KEYS+=(--key "$pair"); done
+unfinished=()
+if [ -n "${DEMO_KILL:-}" ]; then unfinished=(--allow-unfinished); fi
+bin/millload replay "${SEEDS[@]}" "${KEYS[@]}" --effects "$EFFECTS_URL" "${unfinished[@]}" \
+	examples/traces/majlis_day.jsonl >"$WORK/report" &
+replay=$!
+sleep 4
+if [ -n "${DEMO_KILL:-}" ]; then
+	echo "== killing $DEMO_KILL"
+	kill -KILL "${PIDS[$DEMO_KILL]}"
+fi
+echo "== putting the preset peak in force mid-way"
+bin/camphormill preset activate --log "$LOG_URL" peak
+live=("${ENTRIES[@]}")
+bin/camphormill preset watch --log "$LOG_URL" "${live[@]}"
+bin/camphormill status "${live[@]}"
+status=0
+wait "$replay" || status=$?
+echo "== outcomes"
+cat "$WORK/report"
+exit "$status"
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,92 @@
+#!/usr/bin/env bash
+# Starts a small fleet of separate processes on loopback; to be sourced. It sets
+# LOG_URL, ENTRIES (operations doors), SEEDS (callers' URLs) and EFFECTS_URL, and
+# keeps PIDS by name. WORK is the folder for settings and logs.
+
+declare -A PIDS
+FLEET_KEYS=(muscat=key-of-muscat nizwa=key-of-nizwa sohar=key-of-sohar salalah=key-of-salalah)
+FLEET_SECRET=$(printf 'only-for-the-demo-on-loopback' | base64)
+
+fleet_spawn() { # NAME COMMAND...
+	local name=$1
+	shift
+	"$@" >"$WORK/$name.log" 2>&1 &
+	PIDS[$name]=$!
+}
+
+fleet_wait_http() { # URL
+	for _ in $(seq 100); do
+		if (exec 3<>"/dev/tcp/${1%:*}/${1##*:}") 2>/dev/null; then return 0; fi
+		sleep 0.05
+	done
+	echo "nothing answers at $1; see $WORK/*.log" >&2
+	return 1
+}
+
+fleet_organisations() {
+	local pair sum sep=""
+	for pair in "${FLEET_KEYS[@]}"; do
+		sum=$(printf %s "${pair#*=}" | sha256sum | cut -d' ' -f1)
+		printf '%s{"name": "%s", "key_sha256": "%s"}' "$sep" "${pair%%=*}" "$sum"
+		sep=", "
+	done
+}
+
+fleet_target() { # NAME ZONE KIND SERVES VERSION LINK OPERATIONS BACKEND
+	cat >"$WORK/$1.jsonc" <<-JSON
+		{"name": "$1", "zone": "$2", "kind": "$3", "serves": "$4", "version": "$5",
+		 "link": "$6", "operations": "$7", "backend": "http://$8", "capacity": 24,
+		 "reservation_keys": ["$FLEET_SECRET"]}
+	JSON
+	fleet_spawn "$1" bin/targetd run --settings "$WORK/$1.jsonc"
+}
+
+fleet_entry() { # NAME ZONE CALLERS LINK OPERATIONS
+	cat >"$WORK/$1.jsonc" <<-JSON
+		{"name": "$1", "zone": "$2", "callers": "$3", "public_url": "http://$3", "link": "$4", "operations": "$5",
+		 "platform_log": "$LOG_URL", "platform_hosts": "$HOSTS_URL", "address_ttl": "${ADDRESS_TTL:-2s}",
+		 "reservation_keys": ["$FLEET_SECRET"], "organisations": [$(fleet_organisations)]}
+	JSON
+	fleet_spawn "$1" bin/entryd run --settings "$WORK/$1.jsonc"
+}
+
+# fleet_start starts the stand-ins, 6 targets (4 of brief-model in two versions,
+# 2 of roster-app) and 3 entries.
+fleet_start() {
+	mapfile -t PORTS < <(bin/standin ports --count 28)
+	LOG_URL=http://${PORTS[0]} HOSTS_URL=http://${PORTS[1]} EFFECTS_URL=http://${PORTS[2]}
+	local hosts="" sep="" i version zone
+	fleet_spawn log bin/standin log --listen "${PORTS[0]}"
+	fleet_spawn hosts bin/standin hosts --listen "${PORTS[1]}" --file "$WORK/hosts.json" --lag "${HOST_LAG:-1s}"
+	fleet_spawn roster bin/standin service --listen "${PORTS[2]}"
+	for i in 0 1 2 3; do
+		version=v$((i % 2 + 1)) zone=om-north-$(printf 'abca' | cut -c$((i + 1)))
+		fleet_spawn "engine-$i" bin/standin engine --listen "${PORTS[3 + i]}" --model-version "$version"
+		fleet_target "brief-$i" "$zone" draft brief-model "$version" "${PORTS[7 + i]}" "${PORTS[11 + i]}" "${PORTS[3 + i]}"
+		hosts+="$sep{\"name\": \"brief-$i\", \"role\": \"target\", \"address\": \"${PORTS[7 + i]}\", \"zone\": \"$zone\", \"serves\": \"brief-model\"}"
+		sep=", "
+	done
+	for i in 0 1; do
+		zone=om-north-$(printf 'ab' | cut -c$((i + 1)))
+		fleet_target "roster-$i" "$zone" service roster-app v1 "${PORTS[15 + i]}" "${PORTS[17 + i]}" "${PORTS[2]}"
+		hosts+="$sep{\"name\": \"roster-$i\", \"role\": \"target\", \"address\": \"${PORTS[15 + i]}\", \"zone\": \"$zone\", \"serves\": \"roster-app\"}"
+	done
+	SEEDS=() ENTRIES=()
+	for i in 0 1 2; do
+		zone=om-north-$(printf 'abc' | cut -c$((i + 1)))
+		hosts+="$sep{\"name\": \"entry-$i\", \"role\": \"entry\", \"address\": \"${PORTS[22 + i]}\", \"zone\": \"$zone\"}"
+		SEEDS+=(--seed-address "http://${PORTS[19 + i]}")
+		ENTRIES+=(--entry "${PORTS[25 + i]}")
+	done
+	echo "{\"hosts\": [$hosts]}" >"$WORK/hosts.json"
+	fleet_wait_http "${PORTS[0]}"
+	for i in 0 1 2; do
+		fleet_entry "entry-$i" "om-north-$(printf 'abc' | cut -c$((i + 1)))" "${PORTS[19 + i]}" "${PORTS[22 + i]}" "${PORTS[25 + i]}"
+	done
+	for i in 0 1 2; do fleet_wait_http "${PORTS[19 + i]}"; done
+}
+
+fleet_stop() {
+	kill "${PIDS[@]}" 2>/dev/null || true
+	wait 2>/dev/null || true
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,14 @@
+// Command standin serves small stand-ins for the platform: the append-only log,
+// the host list, a batching model engine and a plain service.
+package main
+
+import (
+	"context"
+	"os"
+
+	"camphormill.dev/standin/command"
+)
+
+func main() {
+	os.Exit(command.Main(context.Background(), os.Args))
+}
--- /dev/null
+++ b/targetd/command/services.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/daemon"
+	"camphormill.dev/parts/identity"
+	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/link"
+	"camphormill.dev/parts/preset"
+	"camphormill.dev/parts/reservation"
+	"camphormill.dev/parts/settings"
+	"camphormill.dev/targetd/engine"
+	"camphormill.dev/targetd/gate"
+	"camphormill.dev/targetd/service"
+)
+
+// The names of the services.
+const (
+	serviceMetrics       = "metrics"
+	serviceReadiness     = "readiness"
+	serviceOperations    = "operations"
+	serviceConfiguration = "configuration"
+	serviceGate          = "gate"
+	serviceLink          = "link"
+	serviceDrain         = "drain"
+)
+
+// newKernel registers the services of targetd.
+func newKernel(s Settings, log zerolog.Logger) *kernel.Kernel {
+	k := kernel.New()
+	k.Register(value(serviceMetrics, metrics.NewSet()))
+	k.Register(value(serviceReadiness, daemon.NewReadiness("starting")))
+	k.Register(value(serviceConfiguration, preset.NewHolder()))
+	k.Register(daemon.HTTPService(serviceOperations, s.Operations, []string{serviceMetrics, serviceReadiness}, operations))
+	k.Register(gateService(s))
+	k.Register(linkService(s, daemon.Part(log, serviceLink)))
+	k.Register(drainService(daemon.Part(log, serviceDrain)))
+	return k
+}
+
+func value(name string, v any) kernel.Service {
+	return kernel.Service{Name: name, Start: func(context.Context, *kernel.Kernel) (any, error) { return v, nil }}
+}
+
+func operations(k *kernel.Kernel) http.Handler {
+	return daemon.NewOperationsRouter(kernel.Get[*metrics.Set](k, serviceMetrics), kernel.Get[*daemon.Readiness](k, serviceReadiness))
+}
+
+func gateService(s Settings) kernel.Service {
+	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
+		holder := kernel.Get[*preset.Holder](k, serviceConfiguration)
+		incarnation := identity.New()
+		g := gate.New(gate.Config{
+			Target:      s.Name,
+			Incarnation: incarnation,
+			Kind:        s.Kind,
+			Serves:      s.Serves,
+			Version:     s.Version,
+			Capacity:    s.Capacity,
+			Sealer:      reservation.Sealer{Keys: settings.DecodeKeys(s.ReservationKeys)},
+			Ledger: reservation.NewLedger(reservation.LedgerConfig{
+				Target: s.Name, Incarnation: incarnation,
+				Capacity: s.Reservations, Longest: time.Duration(s.LongestWindow),
+			}),
+			Work:   observed(s, kernel.Get[*metrics.Set](k, serviceMetrics), backend(s)),
+			Now:    time.Now,
+			Weight: func(organisation string) float64 { return holder.InForce().Organisation(organisation).Weight },
+		})
+		return g, nil
+	}
+	return kernel.Service{Name: serviceGate, Needs: []string{serviceConfiguration, serviceMetrics}, Start: start}
+}
+
+func backend(s Settings) gate.Work {
+	if s.Kind == contract.WorkDraft {
+		return engine.New(s.Backend).Work
+	}
+	return service.New(s.Backend).Work
+}
+
+// observed measures the work by class.
+func observed(s Settings, set *metrics.Set, work gate.Work) gate.Work {
+	return func(ctx context.Context, call contract.Call, emit func(token string)) contract.Answer {
+		began := time.Now()
+		answer := work(ctx, call, emit)
+		name := `camphormill_work_seconds{kind="` + string(s.Kind) + `",class="` + string(call.Class) + `",outcome="` + string(answer.Outcome) + `"}`
+		set.GetOrCreateHistogram(name).UpdateDuration(began)
+		return answer
+	}
+}
+
+func linkService(s Settings, log zerolog.Logger) kernel.Service {
+	server := &link.Server{}
+	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
+		listener, err := net.Listen("tcp", s.Link)
+		if err != nil {
+			return nil, errors.Wrapf(err, "cannot listen on %s; free the address or set another", s.Link)
+		}
+		holder := kernel.Get[*preset.Holder](k, serviceConfiguration)
+		server.Methods = kernel.Get[*gate.Gate](k, serviceGate).Methods(s.Zone, gate.Configuration{
+			Offset: holder.Offset,
+			Behind: fetchConfiguration(holder, log),
+		})
+		go server.Serve(listener)
+		return server, nil
+	}
+	stop := func(ctx context.Context) error {
+		defer server.Close()
+		if err := server.Drain(ctx); err != nil {
+			return err
+		}
+		// Closing a socket that holds unread bytes may discard answers that
+		// were sent; entries stop sending once they know of the leaving.
+		time.Sleep(closeDelay)
+		return nil
+	}
+	return kernel.Service{Name: serviceLink, Needs: []string{serviceGate, serviceConfiguration}, Start: start, Stop: stop}
+}
+
+// closeDelay is how long the links stay up after the last answer.
+const closeDelay = 500 * time.Millisecond
+
+// fetchTimeout bounds how long an entry may take to send a configuration.
+const fetchTimeout = 2 * time.Second
+
+// fetchConfiguration asks the entry that told of a newer version for it.
+func fetchConfiguration(holder *preset.Holder, log zerolog.Logger) func(peer *link.Conn, offset int64) {
+	return func(peer *link.Conn, offset int64) {
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		var update preset.Update
+		if err := peer.Call(ctx, contract.MethodConfiguration, contract.ConfigurationRequest{Since: offset}, &update); err != nil {
+			log.Warn().Err(err).Msg("configuration not fetched; the next heartbeat tries again")
+			return
+		}
+		holder.Merge(update)
+	}
+}
+
+// drainService is started last and so stopped first: it refuses new work, waits
+// for what is in flight, and leaves the links up until the answers are out.
+func drainService(log zerolog.Logger) kernel.Service {
+	var g *gate.Gate
+	var readiness *daemon.Readiness
+	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
+		g = kernel.Get[*gate.Gate](k, serviceGate)
+		readiness = kernel.Get[*daemon.Readiness](k, serviceReadiness)
+		readiness.Ready()
+		return nil, nil
+	}
+	stop := func(ctx context.Context) error {
+		readiness.NotReady("leaving")
+		idle := g.Leave()
+		log.Info().Int("in_flight", g.Load().Running).Msg("refusing new work")
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return errors.New("work in flight did not end in time; raise the stop timeout")
+		}
+		return nil
+	}
+	return kernel.Service{Name: serviceDrain, Needs: []string{serviceGate, serviceLink, serviceReadiness, serviceOperations}, Start: start, Stop: stop}
+}
--- /dev/null
+++ b/targetd/gate/methods.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/link"
+)
+
+// Configuration is how the gate learns the configuration from entries.
+type Configuration struct {
+	// Offset is the version in force here.
+	Offset func() int64
+	// Behind tells that a peer knows a newer version.
+	Behind func(peer *link.Conn, offset int64)
+}
+
+// Methods returns the gate's side of the protocol with entryd.
+func (g *Gate) Methods(zone string, c Configuration) link.Methods {
+	return link.Methods{
+		contract.MethodHello:     {Inline: true, Run: g.hello(zone)},
+		contract.MethodHeartbeat: {Inline: true, Run: g.heartbeat(c)},
+		contract.MethodRun:       {Run: g.run},
+		contract.MethodSettle:    {Inline: true, Run: g.settle},
+		contract.MethodCancel:    {Inline: true, Run: g.cancel},
+	}
+}
+
+type methodFunc = func(ctx context.Context, peer *link.Conn, params json.RawMessage) (any, error)
+
+func (g *Gate) hello(zone string) methodFunc {
+	return func(context.Context, *link.Conn, json.RawMessage) (any, error) {
+		c := g.config
+		return contract.Hello{
+			Target: c.Target, Incarnation: c.Incarnation, Zone: zone, Kind: c.Kind,
+			Serves: c.Serves, Version: c.Version, Capacity: c.Capacity, Clock: c.Now(), Load: g.Load(),
+		}, nil
+	}
+}
+
+func (g *Gate) heartbeat(c Configuration) methodFunc {
+	return func(_ context.Context, peer *link.Conn, params json.RawMessage) (any, error) {
+		request, err := link.Decode[contract.HeartbeatRequest](params)
+		if err != nil {
+			return nil, err
+		}
+		offset := c.Offset()
+		if request.ConfigOffset > offset {
+			go c.Behind(peer, offset)
+		}
+		return contract.Heartbeat{Incarnation: g.config.Incarnation, ConfigOffset: offset, Load: g.Load()}, nil
+	}
+}
+
+func (g *Gate) run(ctx context.Context, peer *link.Conn, params json.RawMessage) (any, error) {
+	call, err := link.Decode[contract.Call](params)
+	if err != nil {
+		return nil, err
+	}
+	var sequence atomic.Int64
+	sequence.Store(int64(call.ResumeFrom))
+	emit := func(token string) {
+		n := int(sequence.Add(1)) - 1
+		// A lost frame shows as a lost connection at the entry.
+		_ = peer.Notify(ctx, contract.MethodFrame, contract.Frame{Attempt: call.Attempt, Sequence: n, Token: token})
+	}
+	answer := g.Run(ctx, call, emit)
+	answer.Frames = int(sequence.Load()) - call.ResumeFrom
+	return answer, nil
+}
+
+func (g *Gate) settle(_ context.Context, _ *link.Conn, params json.RawMessage) (any, error) {
+	request, err := link.Decode[contract.SettleRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	return g.Settle(request), nil
+}
+
+func (g *Gate) cancel(_ context.Context, _ *link.Conn, params json.RawMessage) (any, error) {
+	request, err := link.Decode[contract.CancelRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	g.Cancel(request)
+	return nil, nil
+}
