Killed entries leave address answers at once; targets hear of changes at once

Cause: a killed entry stayed in address answers until 15 s of silence, so callers met it again and again; targets learnt of a new version only at their next 1 s heartbeat, and the entry learnt of that one heartbeat later. Ruled out: a shorter silence (a slow gossip round at 400 entries would drop live peers); a notification from targets to all entries (6,600 x 400 messages). Startup once failed with an entry not answering; the cause is not found, the script now prints the logs. Ports come from below the ephemeral range: taken ports were one suspect. Conclusion: suspicion by direct contact, and a heartbeat at each change.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -118,16 +118,18 @@
 }
 
 func newPool(s Settings, k *kernel.Kernel, log zerolog.Logger) *pool.Pool {
+	holder := kernel.Get[*preset.Holder](k, serviceHolder)
 	return pool.New(pool.Config{
-		Entry:        s.Name,
-		SubsetSize:   s.SubsetSize,
-		Dial:         pool.DialTCP,
-		Now:          time.Now,
-		Heartbeat:    time.Duration(s.Heartbeat),
-		ConfigOffset: kernel.Get[*preset.Holder](k, serviceHolder).Offset,
-		Methods:      kernel.Get[*peers.Peers](k, servicePeers).Methods(),
-		Jitter:       func(d time.Duration) time.Duration { return d/2 + rand.N(d) },
-		Log:          daemon.Part(log, servicePool),
+		Entry:         s.Name,
+		SubsetSize:    s.SubsetSize,
+		Dial:          pool.DialTCP,
+		Now:           time.Now,
+		Heartbeat:     time.Duration(s.Heartbeat),
+		ConfigOffset:  holder.Offset,
+		ConfigChanged: holder.Changed,
+		Methods:       kernel.Get[*peers.Peers](k, servicePeers).Methods(),
+		Jitter:        func(d time.Duration) time.Duration { return d/2 + rand.N(d) },
+		Log:           daemon.Part(log, servicePool),
 	})
 }
 
@@ -169,7 +171,7 @@
 		Keys:       keys,
 		Timeout:    time.Duration(s.Timeout),
 		AddressTTL: time.Duration(s.AddressTTL),
-		Addresses:  func() []door.Address { return addresses(p.Live(), s.Zone) },
+		Addresses:  func() []door.Address { return addresses(p.Reachable(), s.Zone) },
 		Dispatcher: kernel.Get[*dispatch.Dispatcher](k, serviceDispatch),
 		State:      kernel.Get[*preset.Holder](k, serviceHolder).State,
 		Share:      func(organisation string) float64 { return share(organisation, me.name, p.Live()) },
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -88,6 +88,20 @@
 	return p.table.Live(p.config.Now(), membership.RoleEntry)
 }
 
+// Reachable returns the records of the live entries that answered when this one
+// last asked them.
+func (p *Peers) Reachable() []membership.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Reachable(p.config.Now(), membership.RoleEntry)
+}
+
+func (p *Peers) suspect(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Suspect(name)
+}
+
 // Run goes round after round until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
@@ -185,6 +199,7 @@
 func (p *Peers) exchange(ctx context.Context, name, address string, m message) {
 	conn, err := p.conn(ctx, name, address)
 	if err != nil {
+		p.suspect(name)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -192,6 +207,7 @@
 	var answer message
 	if err := conn.Call(ctx, contract.MethodExchange, m, &answer); err != nil {
 		p.drop(name, conn)
+		p.suspect(name)
 		return
 	}
 	p.merge(answer.Records)
--- a/entryd/pool/member.go
+++ b/entryd/pool/member.go
@@ -21,6 +21,10 @@
 // callTimeout bounds small calls on a link: hello, heartbeat, settle.
 const callTimeout = time.Second
 
+// catchUpHeartbeat is the time between heartbeats to a target whose
+// configuration is behind.
+const catchUpHeartbeat = 100 * time.Millisecond
+
 // silentHeartbeats is how many heartbeats may fail before the link is given up.
 const silentHeartbeats = 3
 
@@ -142,18 +146,22 @@
 
 // beat sends heartbeats until the link is lost or silent.
 func (m *member) beat(ctx context.Context, conn *link.Conn) {
-	ticker := time.NewTicker(m.pool.config.Heartbeat)
-	defer ticker.Stop()
+	timer := time.NewTimer(m.pool.config.Heartbeat)
+	defer timer.Stop()
 	failed := 0
 	for {
+		changed := m.pool.config.ConfigChanged()
 		select {
 		case <-ctx.Done():
 			return
 		case <-conn.Done():
 			return
-		case <-ticker.C:
+		case <-changed:
+		case <-timer.C:
 		}
-		if m.heartbeat(ctx, conn) {
+		ok := m.heartbeat(ctx, conn)
+		timer.Reset(m.untilNext())
+		if ok {
 			failed = 0
 			continue
 		}
@@ -165,6 +173,17 @@
 	}
 }
 
+// untilNext is the time to the next heartbeat: short while the target fetches a
+// newer configuration, so that it is soon known to have it.
+func (m *member) untilNext() time.Duration {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	if m.configOffset < m.pool.config.ConfigOffset() {
+		return min(catchUpHeartbeat, m.pool.config.Heartbeat)
+	}
+	return m.pool.config.Heartbeat
+}
+
 func (m *member) heartbeat(ctx context.Context, conn *link.Conn) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/entryd/pool/pool.go
+++ b/entryd/pool/pool.go
@@ -25,9 +25,12 @@
 	Now          func() time.Time
 	Heartbeat    time.Duration
 	ConfigOffset func() int64
-	Methods      link.Methods // what a target may ask of the entry
-	Jitter       func(d time.Duration) time.Duration
-	Log          zerolog.Logger
+	// ConfigChanged is closed when the configuration moves on, so that targets
+	// hear of it before the next heartbeat.
+	ConfigChanged func() <-chan struct{}
+	Methods       link.Methods // what a target may ask of the entry
+	Jitter        func(d time.Duration) time.Duration
+	Log           zerolog.Logger
 }
 
 // Pool is safe for concurrent use.
--- a/millload/caller/caller.go
+++ b/millload/caller/caller.go
@@ -22,6 +22,9 @@
 // maxSends bounds how often a caller sends one request.
 const maxSends = 8
 
+// avoidTime is how long a caller keeps from an address that failed.
+const avoidTime = 5 * time.Second
+
 // firstPause is the pause after a lost connection; it doubles.
 const firstPause = 100 * time.Millisecond
 
@@ -40,12 +43,13 @@
 	addresses []string
 	expires   time.Time
 	next      int
+	avoid     map[string]time.Time // addresses that failed, until when
 }
 
 // New returns a caller.
 func New(c Config) *Caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
-	return &Caller{config: c, client: &http.Client{Transport: transport}}
+	return &Caller{config: c, client: &http.Client{Transport: transport}, avoid: map[string]time.Time{}}
 }
 
 // Result is what became of one event.
@@ -65,11 +69,17 @@
 	if time.Now().After(c.expires) {
 		c.refresh(ctx)
 	}
-	c.next++
-	if len(c.addresses) == 0 {
-		return c.config.Seeds[c.next%len(c.config.Seeds)]
+	known := c.addresses
+	if len(known) == 0 {
+		known = c.config.Seeds
+	}
+	for range known {
+		c.next++
+		if url := known[c.next%len(known)]; time.Now().After(c.avoid[url]) {
+			return url
+		}
 	}
-	return c.addresses[c.next%len(c.addresses)]
+	return known[c.next%len(known)]
 }
 
 // refresh asks the known addresses, then the seeds. The caller holds the lock.
@@ -111,11 +121,12 @@
 	return urls, answer.ExpiresAt, nil
 }
 
-// drop forgets the addresses after one of them failed.
-func (c *Caller) drop() {
+// drop forgets the addresses after one of them failed, and avoids that one.
+func (c *Caller) drop(failed string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expires = time.Time{}
+	c.avoid[failed] = time.Now().Add(avoidTime)
 }
 
 // Do carries out one event to its final outcome.
@@ -151,7 +162,8 @@
 }
 
 func (c *Caller) send(ctx context.Context, method, path string, header http.Header, body []byte) (reply, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.address(ctx)+path, io.NopCloser(bytes.NewReader(body)))
+	base := c.address(ctx)
+	req, err := http.NewRequestWithContext(ctx, method, base+path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return reply{}, err
 	}
@@ -162,7 +174,7 @@
 	req.Header = header
 	resp, err := c.client.Do(req)
 	if err != nil {
-		c.drop()
+		c.drop(base)
 		return reply{}, err
 	}
 	defer resp.Body.Close()
@@ -176,7 +188,7 @@
 		r.body = append(first[:n], rest...)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		c.drop()
+		c.drop(base)
 		return reply{}, err
 	}
 	return r, nil
--- a/millload/replay/replay.go
+++ b/millload/replay/replay.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -77,6 +78,8 @@
 			if problem := wrong(r, effects, allowUnfinished); problem != "" {
 				row.Wrong++
 				report.note(r, problem)
+			} else if r.Outcome != contract.OutcomeDone {
+				report.note(r, "ended "+string(r.Outcome)+" after "+strconv.Itoa(r.Sends)+" sends: "+r.Problem)
 			}
 		}
 		row.P50MS, row.P95MS, row.P99MS = quantile(took, 50), quantile(took, 95), quantile(took, 99)
--- a/parts/membership/membership.go
+++ b/parts/membership/membership.go
@@ -53,6 +53,9 @@
 type held struct {
 	record  Record
 	heardAt time.Time
+	// suspect is set when the origin could not be reached, until it is heard
+	// of again.
+	suspect bool
 }
 
 // Table holds the newest record of each origin. It is not safe for concurrent
@@ -129,6 +132,19 @@
 	return h.record.Origin == t.self || now.Sub(h.heardAt) <= t.silence
 }
 
+// Suspect notes that an origin could not be reached.
+func (t *Table) Suspect(origin string) {
+	if h, ok := t.records[origin]; ok {
+		h.suspect = true
+		t.records[origin] = h
+	}
+}
+
+// Reachable returns the live records of a role without the suspects.
+func (t *Table) Reachable(now time.Time, role Role) []Record {
+	return slices.DeleteFunc(t.Live(now, role), func(r Record) bool { return t.records[r.Origin].suspect })
+}
+
 // Forget drops records silent for ten times the silence.
 func (t *Table) Forget(now time.Time) {
 	const patience = 10
--- a/parts/preset/holder.go
+++ b/parts/preset/holder.go
@@ -4,13 +4,14 @@
 
 // Holder is a Reader that is safe for concurrent use.
 type Holder struct {
-	mu     sync.Mutex
-	reader *Reader
+	mu      sync.Mutex
+	reader  *Reader
+	changed chan struct{} // closed and replaced when the version moves
 }
 
 // NewHolder returns a holder that has seen nothing.
 func NewHolder() *Holder {
-	return &Holder{reader: NewReader()}
+	return &Holder{reader: NewReader(), changed: make(chan struct{})}
 }
 
 // State returns the state and whether it may be served from.
@@ -39,16 +40,26 @@
 	return h.reader.Since(offset)
 }
 
-// Merge takes a peer's update.
-func (h *Holder) Merge(u Update) {
+// Changed is closed when the version moves on from the present one.
+func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reader.Merge(u)
+	return h.changed
+}
+
+// Merge takes a peer's update.
+func (h *Holder) Merge(u Update) {
+	h.With(func(r *Reader) { r.Merge(u) })
 }
 
 // With runs f on the reader alone.
 func (h *Holder) With(f func(r *Reader)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before := h.reader.state.Offset
 	f(h.reader)
+	if h.reader.state.Offset != before {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -19,7 +19,8 @@
 		if (exec 3<>"/dev/tcp/${1%:*}/${1##*:}") 2>/dev/null; then return 0; fi
 		sleep 0.05
 	done
-	echo "nothing answers at $1; see $WORK/*.log" >&2
+	echo "nothing answers at $1; the last lines of the logs:" >&2
+	tail -n 3 "$WORK"/*.log >&2
 	return 1
 }
 
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -107,15 +108,24 @@
 	}
 }
 
+// Ports are picked below the range from which the system takes the ports of
+// outgoing connections, so that none is taken before its process starts.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
 func portsVerb() *cli.Command {
 	action := func(_ context.Context, c *cli.Command) error {
-		for range c.Int("count") {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+		for found := 0; found < c.Int("count"); {
+			address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+			l, err := net.Listen("tcp", address)
 			if err != nil {
-				return commandline.Exit(commandline.ExitFailed, err)
+				continue
 			}
 			defer l.Close()
-			if _, err := fmt.Fprintln(c.Root().Writer, l.Addr()); err != nil {
+			found++
+			if _, err := fmt.Fprintln(c.Root().Writer, address); err != nil {
 				return err
 			}
 		}
