--- a/entryd/claims/claims.go
+++ b/entryd/claims/claims.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"camphormill.dev/entryd/dispatch"
 	"camphormill.dev/parts/claim"
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/identity"
@@ -180,9 +179,9 @@
 }
 
 func (c *Claimer) unsettled() error {
-	return &dispatch.UnsettledClaimError{Failure: contract.NewFailure(contract.KindLogUnavailable,
+	return contract.NewFailure(contract.KindLogUnavailable,
 		"the log has not told yet whether the key was claimed",
-		"send the call again with the same key").WithRetryAt(c.config.Now().Add(comeBack))}
+		"send the call again with the same key").WithRetryAt(c.config.Now().Add(comeBack))
 }
 
 func (c *Claimer) appendBatches(ctx context.Context) {
--- a/entryd/dispatch/dispatch.go
+++ b/entryd/dispatch/dispatch.go
@@ -93,6 +93,12 @@
 	Stream       bool
 }
 
+// Bound says whether the caller binds the request to one run, so that it may
+// have been sent before.
+func (r Request) Bound() bool {
+	return r.Reservation != "" || r.Key != ""
+}
+
 // Result is the final word on a request.
 type Result struct {
 	contract.Answer
--- a/entryd/dispatch/reserved.go
+++ b/entryd/dispatch/reserved.go
@@ -46,7 +46,7 @@
 func (d *Dispatcher) Call(ctx context.Context, r Request) Result {
 	fingerprint, failure := d.begin(r)
 	if failure != nil {
-		return Result{Answer: contract.Refusal(failure)}
+		return Result{Answer: refuse(r, failure), Reservation: r.Reservation}
 	}
 	if r.Reservation != "" {
 		return d.present(ctx, r, fingerprint, r.Reservation, false)
@@ -54,6 +54,15 @@
 	return d.callUnbound(ctx, r, fingerprint)
 }
 
+// refuse ends a request that was not sent. One that the caller has bound may
+// have run when it was sent before, so only its gate can say that it did not.
+func refuse(r Request, f *contract.Failure) contract.Answer {
+	if r.Bound() {
+		return contract.Uncertain(f)
+	}
+	return contract.Refusal(f)
+}
+
 // callUnbound reserves and calls, and tries another target as long as each
 // earlier reservation is known to be voided.
 func (d *Dispatcher) callUnbound(ctx context.Context, r Request, fingerprint uint64) Result {
@@ -64,14 +73,14 @@
 		token, _, err := d.Reserve(r.Organisation, r.Serves, tried)
 		if err != nil {
 			if attempt == 1 {
-				result.Answer = contract.Refusal(contract.AsFailure(err))
+				result.Answer = refuse(r, contract.AsFailure(err))
 			}
 			return result
 		}
 		ours := token
 		if r.Key != "" {
 			if token, err = d.claim(ctx, r, voided, token); err != nil {
-				return claimResult(err)
+				return Result{Answer: contract.Uncertain(contract.AsFailure(err))}
 			}
 		}
 		result = d.present(ctx, r, fingerprint, token, token == ours && r.Key == "")
@@ -105,25 +114,6 @@
 	return d.config.Claimer.Replace(ctx, r.Organisation, r.Key, voided, token)
 }
 
-// claimResult is not run only when no claim of ours can be in the log.
-func claimResult(err error) Result {
-	var unsettled *UnsettledClaimError
-	if errors.As(err, &unsettled) {
-		return Result{Answer: contract.Uncertain(contract.AsFailure(unsettled.Failure))}
-	}
-	return Result{Answer: contract.Refusal(contract.AsFailure(err))}
-}
-
-// UnsettledClaimError says that a claim may or may not be in the log.
-type UnsettledClaimError struct {
-	Failure *contract.Failure
-}
-
-// Error gives the failure's message and remedy.
-func (e *UnsettledClaimError) Error() string {
-	return e.Failure.Error()
-}
-
 // present sends a call under a reservation. When solePresenter, nobody else
 // holds the token, so that a call never sent is known not to have run.
 func (d *Dispatcher) present(ctx context.Context, r Request, fingerprint uint64, token string, solePresenter bool) Result {
--- a/entryd/door/completions.go
+++ b/entryd/door/completions.go
@@ -74,7 +74,7 @@
 		body, failure = decodeCompletion(request.Body)
 	}
 	if failure != nil {
-		d.fail(w, contract.Refusal(failure), "")
+		d.refuse(w, r, failure)
 		return
 	}
 	request.Kind = contract.WorkDraft
--- a/entryd/door/door.go
+++ b/entryd/door/door.go
@@ -90,13 +90,13 @@
 		r.Post("/v1/completions", d.complete)
 		r.HandleFunc("/v1/services/{service}/*", d.service)
 	})
-	router.NotFound(func(w http.ResponseWriter, _ *http.Request) {
-		d.fail(w, contract.Refusal(contract.NewFailure(contract.KindInvalidRequest,
-			"there is nothing at this path", "see docs/CALLERS.md")), "")
+	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		d.refuse(w, r, contract.NewFailure(contract.KindInvalidRequest,
+			"there is nothing at this path", "see docs/CALLERS.md"))
 	})
-	router.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
-		d.fail(w, contract.Refusal(contract.NewFailure(contract.KindInvalidRequest,
-			"the path does not take this method", "see docs/CALLERS.md")), "")
+	router.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		d.refuse(w, r, contract.NewFailure(contract.KindInvalidRequest,
+			"the path does not take this method", "see docs/CALLERS.md"))
 	})
 	return router
 }
@@ -127,9 +127,9 @@
 		sum := sha256.Sum256([]byte(key))
 		organisation, known := d.config.Keys[hex.EncodeToString(sum[:])]
 		if !found || !known {
-			d.fail(w, contract.Refusal(contract.NewFailure(contract.KindUnauthenticated,
+			d.refuse(w, r, contract.NewFailure(contract.KindUnauthenticated,
 				"the organisation's key is missing or not known",
-				"send the header Authorization: Bearer KEY")), "")
+				"send the header Authorization: Bearer KEY"))
 			return
 		}
 		ctx := context.WithValue(r.Context(), organisationKey{}, organisation)
@@ -211,6 +211,18 @@
 	*contract.Failure
 }
 
+// refuse ends a request that was not sent to a target. One that the caller has
+// bound to a reservation or key may have run when it was sent before: only its
+// gate can say that it did not.
+func (d *Door) refuse(w http.ResponseWriter, r *http.Request, f *contract.Failure) {
+	reservation := r.Header.Get(HeaderReservation)
+	if reservation != "" || r.Header.Get(HeaderKey) != "" {
+		d.fail(w, contract.Uncertain(f), reservation)
+		return
+	}
+	d.fail(w, contract.Refusal(f), "")
+}
+
 // fail ends a request without a whole answer.
 func (d *Door) fail(w http.ResponseWriter, a contract.Answer, reservation string) {
 	f := a.Failure
--- a/entryd/door/service.go
+++ b/entryd/door/service.go
@@ -16,17 +16,17 @@
 func (d *Door) reserve(w http.ResponseWriter, r *http.Request) {
 	request, failure := d.admitted(w, r)
 	if failure != nil {
-		d.fail(w, contract.Refusal(failure), "")
+		d.refuse(w, r, failure)
 		return
 	}
 	wanted, failure := decodeReserve(request.Body)
 	if failure != nil {
-		d.fail(w, contract.Refusal(failure), "")
+		d.refuse(w, r, failure)
 		return
 	}
 	token, deadline, err := d.config.Dispatcher.Reserve(request.Organisation, wanted.Service, nil)
 	if err != nil {
-		d.fail(w, contract.Refusal(contract.AsFailure(err)), "")
+		d.refuse(w, r, contract.AsFailure(err))
 		return
 	}
 	writeJSON(w, http.StatusCreated, reserveAnswer{Reservation: token, ExpiresAt: deadline})
@@ -40,12 +40,12 @@
 		failure = serviceRequest(r, &request)
 	}
 	if failure != nil {
-		d.fail(w, contract.Refusal(failure), "")
+		d.refuse(w, r, failure)
 		return
 	}
 	repeatable, failure := repeatable(r)
 	if failure != nil {
-		d.fail(w, contract.Refusal(failure), "")
+		d.refuse(w, r, failure)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
--- a/entryd/pool/member.go
+++ b/entryd/pool/member.go
@@ -15,7 +15,7 @@
 // Redial times of a link that is down.
 const (
 	firstRedial = 50 * time.Millisecond
-	lastRedial  = 2 * time.Second
+	lastRedial  = 500 * time.Millisecond
 )
 
 // callTimeout bounds small calls on a link: hello, heartbeat, settle.
--- a/parts/link/server.go
+++ b/parts/link/server.go
@@ -21,7 +21,12 @@
 	s.mu.Lock()
 	s.listener = l
 	s.conns = map[*Conn]bool{}
+	closed := s.closed
 	s.mu.Unlock()
+	if closed {
+		_ = l.Close()
+		return
+	}
 	for {
 		conn, err := l.Accept()
 		if err != nil {
