--- a/entryd/configuration/follower.go
+++ b/entryd/configuration/follower.go
@@ -120,14 +120,13 @@
 }
 
 func (f *Follower) take(r *preset.Reader, page platform.Page) {
-	before := r.SinceSnapshot()
 	r.Truncated(page.Oldest)
 	for _, record := range page.Records {
+		before := r.NewestSnapshot()
 		r.Read(preset.Entry{Offset: record.Offset, Data: record.Data})
-		if f.snapshotAt.IsZero() || r.SinceSnapshot() < before {
+		if f.snapshotAt.IsZero() || r.NewestSnapshot() != before {
 			f.snapshotAt = record.AppendedAt
 		}
-		before = r.SinceSnapshot()
 	}
 	if r.Next() >= page.End {
 		r.Reached()
@@ -159,7 +158,8 @@
 }
 
 func (f *Follower) due(r *preset.Reader) bool {
-	if r.SinceSnapshot() >= snapshotEvery+f.spread {
+	state, _ := r.State()
+	if state.Offset-r.NewestSnapshot() >= snapshotEvery+f.spread {
 		return true
 	}
 	age := f.config.SnapshotAge + f.config.SnapshotAge*time.Duration(f.spread)/snapshotEvery
--- a/parts/preset/reader.go
+++ b/parts/preset/reader.go
@@ -167,9 +167,9 @@
 	r.drainPending()
 }
 
-// SinceSnapshot counts the offsets after the newest snapshot that was read.
-func (r *Reader) SinceSnapshot() int64 {
-	return r.state.Offset - r.snapshot
+// NewestSnapshot is the offset of the newest snapshot that was read, or NoOffset.
+func (r *Reader) NewestSnapshot() int64 {
+	return r.snapshot
 }
 
 // Snapshot returns the state as a snapshot to append, unless the reader has
