--- /dev/null
+++ b/millload/command/experiment_verb.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"camphormill.dev/millload/experiment"
+	"camphormill.dev/millload/experts"
+	"camphormill.dev/parts/commandline"
+)
+
+// experiments is every experiment by name.
+func experiments() map[string]experiment.Kind {
+	table := map[string]experiment.Kind{}
+	for _, kind := range []experiment.Kind{experts.Kind()} {
+		table[kind.Name] = kind
+	}
+	return table
+}
+
+func experimentVerb() *cli.Command {
+	return &cli.Command{
+		Name: "experiment", Usage: "run an experiment from a file", ArgsUsage: "FILE", Action: runExperiment,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "write the report as JSON and its plot as SVG into `FOLDER`"},
+		},
+		UsageText: "millload experiment --out out examples/experiments/experts_16.jsonc",
+	}
+}
+
+func runExperiment(_ context.Context, c *cli.Command) error {
+	path := c.Args().First()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return commandline.Exit(commandline.ExitUsage, errors.Wrap(err, "name an existing experiment file"))
+	}
+	report, err := experiment.Run(experiments(), text)
+	if err != nil {
+		return commandline.Exit(commandline.ExitUsage, err)
+	}
+	if folder := c.String("out"); folder != "" {
+		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+		if err := writeReport(report, filepath.Join(folder, name)); err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+	}
+	return report.Print(c.Root().Writer)
+}
+
+// writeReport writes BASE.json and, when there is a plot, BASE.svg.
+func writeReport(r *experiment.Report, base string) error {
+	if err := os.MkdirAll(filepath.Dir(base), 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(base+".json", data, 0o644); err != nil {
+		return err
+	}
+	if r.Plot == nil {
+		return nil
+	}
+	return r.Plot.WriteSVG(base + ".svg")
+}
--- /dev/null
+++ b/millload/experiment/experiment.go
@@ -0,0 +1,108 @@
+// Package experiment runs named experiments from a file and reports them as a
+// table, JSON and a plot. The same file gives the same figures, but for times.
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Report is the result of one experiment.
+type Report struct {
+	Experiment string     `json:"experiment"`
+	Columns    []string   `json:"columns"`
+	Rows       [][]string `json:"rows"`
+	Plot       *Plot      `json:"plot,omitempty"`
+}
+
+// Plot is lines over two axes.
+type Plot struct {
+	Title string `json:"title"`
+	X     string `json:"x"`
+	Y     string `json:"y"`
+	Lines []Line `json:"lines"`
+}
+
+// Line is one line of a plot.
+type Line struct {
+	Name   string       `json:"name"`
+	Points [][2]float64 `json:"points"`
+}
+
+// Add adds a row; numbers are printed with three digits after the point.
+func (r *Report) Add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		switch value := c.(type) {
+		case float64:
+			row = append(row, strconv.FormatFloat(value, 'f', 3, 64))
+		default:
+			row = append(row, fmt.Sprint(value))
+		}
+	}
+	r.Rows = append(r.Rows, row)
+}
+
+// Print prints the report as a table.
+func (r *Report) Print(w io.Writer) error {
+	const padding = 2
+	table := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, strings.Join(r.Columns, "\t")+"\t")
+	for _, row := range r.Rows {
+		fmt.Fprintln(table, strings.Join(row, "\t")+"\t")
+	}
+	return table.Flush()
+}
+
+// Kind is one kind of experiment.
+type Kind struct {
+	Name  string
+	Usage string
+	// Run reads the experiment's own settings and makes the report.
+	Run func(settings json.RawMessage) (*Report, error)
+}
+
+// file is an experiment file.
+type file struct {
+	Experiment string          `json:"experiment"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// Run runs the experiment that the text describes, JSON with comments.
+func Run(kinds map[string]Kind, text []byte) (*Report, error) {
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "the experiment file cannot be read; mend the JSON")
+	}
+	var f file
+	if err := json.Unmarshal(standard, &f); err != nil {
+		return nil, errors.Wrap(err, "the experiment file cannot be read; mend the field")
+	}
+	kind, ok := kinds[f.Experiment]
+	if !ok {
+		known := strings.Join(slices.Sorted(maps.Keys(kinds)), ", ")
+		return nil, errors.Errorf("experiment %q is not known; write one of %s", f.Experiment, known)
+	}
+	report, err := kind.Run(f.Settings)
+	if err != nil {
+		return nil, errors.Wrapf(err, "experiment %s", f.Experiment)
+	}
+	report.Experiment = f.Experiment
+	return report, nil
+}
+
+// Decode reads an experiment's settings and refuses unknown fields.
+func Decode[T any](raw json.RawMessage, value *T) error {
+	decoder := json.NewDecoder(strings.NewReader(string(raw)))
+	decoder.DisallowUnknownFields()
+	return errors.Wrap(decoder.Decode(value), "settings; mend the field")
+}
--- /dev/null
+++ b/millload/experiment/plot_svg.go
@@ -0,0 +1,35 @@
+package experiment
+
+import (
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// WriteSVG draws the plot into a file whose ending names the format.
+func (p *Plot) WriteSVG(path string) error {
+	drawing := plot.New()
+	drawing.Title.Text = p.Title
+	drawing.X.Label.Text = p.X
+	drawing.Y.Label.Text = p.Y
+	var lines []any
+	for _, line := range p.Lines {
+		points := make(plotter.XYs, len(line.Points))
+		for i, at := range line.Points {
+			points[i] = plotter.XY{X: at[0], Y: at[1]}
+		}
+		lines = append(lines, line.Name, points)
+	}
+	if err := plotutil.AddLinePoints(drawing, lines...); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(drawing.Save(plotWidth, plotHeight, path), "plot; name a file that can be written and ends in .svg or .png")
+}
