--- /dev/null
+++ b/parts/admission/admission_test.go
@@ -0,0 +1,98 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/admission"
+	"camphormill.dev/parts/contract"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func request(organisation string, n int, weight float64, class contract.Class) admission.Request {
+	return admission.Request{
+		ID: fmt.Sprintf("%s-%d", organisation, n), Organisation: organisation, Weight: weight, Class: class,
+		Deadline: start.Add(time.Hour),
+	}
+}
+
+// TestPlacesGoByWeight floods the queue from one organisation before another
+// sends anything.
+func TestPlacesGoByWeight(t *testing.T) {
+	is := is.New(t)
+	q := admission.NewQueue(1)
+	q.Offer(start, request("first", 0, 1, contract.ClassInteractive))
+	for n := range 60 {
+		q.Offer(start, request("flood", n, 1, contract.ClassInteractive))
+	}
+	for n := range 60 {
+		q.Offer(start, request("heavy", n, 2, contract.ClassInteractive))
+	}
+	got := map[string]int{}
+	for range 30 {
+		q.Done(time.Millisecond)
+		next, _ := q.Next(start)
+		got[next.Organisation]++
+	}
+	is.True(got["heavy"] >= 19 && got["heavy"] <= 21) // two thirds of the places
+}
+
+func TestInteractiveGoesFirst(t *testing.T) {
+	is := is.New(t)
+	q := admission.NewQueue(1)
+	q.Offer(start, request("a", 0, 1, contract.ClassInteractive))
+	q.Offer(start, request("a", 1, 1, contract.ClassBatch))
+	q.Offer(start, request("b", 2, 1, contract.ClassInteractive))
+	q.Done(time.Millisecond)
+	next, _ := q.Next(start)
+	is.Equal(next.Class, contract.ClassInteractive)
+}
+
+// TestRefusedAtOnce refuses what cannot start in time when it comes, not at its
+// deadline.
+func TestRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := admission.NewQueue(1)
+	for n := range 10 {
+		q.Offer(start, request("a", n, 1, contract.ClassInteractive))
+	}
+	hurried := request("b", 0, 1, contract.ClassInteractive)
+	hurried.Deadline = start.Add(100 * time.Millisecond)
+	verdict, free := q.Offer(start, hurried)
+	is.Equal(verdict, admission.VerdictRefuse)
+	is.True(free.After(hurried.Deadline)) // told when to come back
+}
+
+func TestLateAndRemovedRequests(t *testing.T) {
+	is := is.New(t)
+	q := admission.NewQueue(1)
+	for n := range 3 {
+		q.Offer(start, request("a", n, 1, contract.ClassInteractive))
+	}
+	is.True(q.Remove("a-1"))
+	is.Equal(q.Remove("a-1"), false)
+	q.Done(time.Millisecond)
+	next, late := q.Next(start.Add(2 * time.Hour))
+	is.True(next == nil)
+	is.Equal(len(late), 1)
+	is.Equal(q.Running(), 0)
+}
+
+func ExampleQueue() {
+	q := admission.NewQueue(1)
+	verdict, _ := q.Offer(start, request("a", 0, 1, contract.ClassInteractive))
+	fmt.Println(verdict)
+	verdict, _ = q.Offer(start, request("b", 1, 1, contract.ClassInteractive))
+	fmt.Println(verdict)
+	q.Done(20 * time.Millisecond)
+	next, _ := q.Next(start)
+	fmt.Println(next.ID)
+	// Output:
+	// run
+	// wait
+	// b-1
+}
--- /dev/null
+++ b/parts/reservation/reservation_test.go
@@ -0,0 +1,126 @@
+package reservation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/reservation"
+)
+
+var (
+	start  = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	sealer = reservation.Sealer{Keys: [][]byte{[]byte("a key of the tests")}}
+)
+
+func newLedger(capacity int) *reservation.Ledger {
+	return reservation.NewLedger(reservation.LedgerConfig{Target: "t", Incarnation: "t/1", Capacity: capacity, Longest: time.Hour})
+}
+
+func claims(id string) reservation.Claims {
+	return reservation.Claims{ID: id, Organisation: "muscat", Target: "t", Incarnation: "t/1", Deadline: start.Add(time.Minute)}
+}
+
+func done(text string) contract.Answer {
+	return contract.Answer{Outcome: contract.OutcomeDone, Status: 200, Body: []byte(text)}
+}
+
+func TestClockSteppedBackRevivesNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(10)
+	decision, _ := l.Begin(start, claims("a"), "muscat", 1)
+	is.Equal(decision, reservation.DecisionStart)
+	l.Finish(start, "a", done("ran"))
+	_, _ = l.Begin(start.Add(2*time.Minute), claims("b"), "muscat", 1) // time passes; a is forgotten
+	decision, answer := l.Begin(start, claims("a"), "muscat", 1)       // the clock is stepped back
+	is.Equal(decision, reservation.DecisionRefuse)
+	is.Equal(answer.Outcome, contract.OutcomeUnknown)
+	is.Equal(answer.Failure.Kind, contract.KindReservationExpired)
+}
+
+func TestFullLedgerNeverSaysNotRun(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(1)
+	_, _ = l.Begin(start, claims("a"), "muscat", 1)
+	decision, answer := l.Begin(start, claims("b"), "muscat", 1)
+	is.Equal(decision, reservation.DecisionRefuse)
+	is.Equal(answer.Outcome, contract.OutcomeUnknown) // it could not hold to "not run"
+	is.Equal(l.Settle(start, claims("b"), "muscat").State, contract.SettleUnknown)
+	later := start.Add(2 * time.Minute)
+	c := claims("c")
+	c.Deadline = later.Add(time.Minute)
+	decision, _ = l.Begin(later, c, "muscat", 1)
+	is.Equal(decision, reservation.DecisionStart) // what expired makes room
+}
+
+func TestReservationIsBoundToItsFirstBody(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(10)
+	_, _ = l.Begin(start, claims("a"), "muscat", 1)
+	l.Finish(start, "a", done("ran"))
+	_, answer := l.Begin(start, claims("a"), "muscat", 2)
+	is.Equal(answer.Failure.Kind, contract.KindReservationMismatch)
+	decision, answer := l.Begin(start, claims("a"), "muscat", 1)
+	is.Equal(decision, reservation.DecisionReplay)
+	is.Equal(string(answer.Body), "ran")
+}
+
+func TestOtherOrganisationLearnsNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(10)
+	_, _ = l.Begin(start, claims("a"), "muscat", 1)
+	l.Finish(start, "a", done("secret"))
+	decision, answer := l.Begin(start, claims("a"), "nizwa", 1)
+	is.Equal(decision, reservation.DecisionRefuse)
+	is.Equal(answer.Failure.Kind, contract.KindReservationInvalid) // the same as for garbage
+	is.Equal(len(answer.Body), 0)
+}
+
+func FuzzOpen(f *testing.F) {
+	token, err := sealer.Seal(claims("a"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(token)
+	f.Add("")
+	f.Add(".")
+	f.Add("e30.e30")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := sealer.Open(text)
+		if err == nil && text != token {
+			again, _ := sealer.Seal(c)
+			if again != text {
+				t.Fatalf("opened a token that was never sealed: %q", text)
+			}
+		}
+	})
+}
+
+func ExampleLedger() {
+	l := newLedger(10)
+	decision, _ := l.Begin(start, claims("a"), "muscat", 1)
+	fmt.Println(decision)
+	decision, _ = l.Begin(start, claims("a"), "muscat", 1)
+	fmt.Println(decision)
+	l.Finish(start, "a", done("confirmed"))
+	decision, answer := l.Begin(start, claims("a"), "muscat", 1)
+	fmt.Println(decision, string(answer.Body))
+	// Output:
+	// start
+	// wait
+	// replay confirmed
+}
+
+func ExampleSealer() {
+	token, _ := sealer.Seal(claims("a"))
+	c, err := sealer.Open(token)
+	fmt.Println(c.Target, err)
+	_, err = sealer.Open("x" + token)
+	fmt.Println(err)
+	// Output:
+	// t <nil>
+	// the reservation is not one of ours; send it as it was given, or ask for a new one
+}
--- a/parts/reservation/token.go
+++ b/parts/reservation/token.go
@@ -60,11 +60,11 @@
 	if !found {
 		return Claims{}, invalid
 	}
-	given, err := base64.RawURLEncoding.DecodeString(signature)
+	given, err := base64.RawURLEncoding.Strict().DecodeString(signature)
 	if err != nil || !s.signedByAny(body, given) {
 		return Claims{}, invalid
 	}
-	payload, err := base64.RawURLEncoding.DecodeString(body)
+	payload, err := base64.RawURLEncoding.Strict().DecodeString(body)
 	if err != nil {
 		return Claims{}, invalid
 	}
--- a/parts/settings/settings.go
+++ b/parts/settings/settings.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 	"time"
@@ -72,17 +71,13 @@
 func Parse(path string, raw []byte, value Checked) error {
 	standard, err := hujson.Standardize(bytes.Clone(raw))
 	if err != nil {
-		return Faults{{File: path, Line: 1, Field: "(file)", Reason: err.Error(), Remedy: "mend the JSON at that line"}}
+		return Faults{{File: path, Line: lineOf(err), Field: "(file)", Reason: err.Error(), Remedy: "mend the JSON at that line"}}
 	}
 	decoder := json.NewDecoder(bytes.NewReader(standard))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
 		return Faults{decodeFault(path, standard, err, decoder.InputOffset())}
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		line := lineAt(standard, decoder.InputOffset())
-		return Faults{{File: path, Line: line, Field: "(file)", Reason: "text after the settings", Remedy: "keep one JSON object in the file"}}
-	}
 	checker := &Checker{}
 	value.Check(checker)
 	for i := range checker.faults {
@@ -113,6 +108,17 @@
 	return fault
 }
 
+// lineOf finds the line that a syntax error names.
+func lineOf(err error) int {
+	line := 1
+	if _, rest, found := strings.Cut(err.Error(), "line "); found {
+		if _, scanErr := fmt.Sscanf(rest, "%d", &line); scanErr != nil {
+			return 1
+		}
+	}
+	return line
+}
+
 func lineAt(text []byte, offset int64) int {
 	if offset > int64(len(text)) {
 		offset = int64(len(text))
--- /dev/null
+++ b/targetd/command/settings_test.go
@@ -0,0 +1,21 @@
+package command
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/settings"
+)
+
+func TestExamplesAreFine(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/*/targetd.jsonc")
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(len(paths), 2) // one for each user
+	for _, path := range paths {
+		s := Defaults()
+		is.NoErr(settings.Load(path, &s))
+	}
+}
