Proofs: a closed end of the test network reads nothing more

Ruled out: a link that the pool forgets (each path after a dial closes it). Conclusion: the fault was the test network's.

--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -223,7 +223,7 @@
 }
 
 func (e *end) Close() error {
-	e.in.change(func() { e.in.closed = true })
+	e.in.reset() // a closed end reads nothing more, as a closed socket
 	e.out.change(func() { e.out.closed = true })
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
