Groups in the daemons: planner, stand-in engines in lock-step, part of the demo

Cause: no daemon drove the group parts; the demo showed no skew. Ruled out: a planner in each rank's process (two plans a second for one group); only the holder of the lease plans. Before: settings had no group. The demo now waits for every process before it begins; before, a target with faulty settings went unnoticed.

--- a/parts/kernel/kernel.go
+++ b/parts/kernel/kernel.go
@@ -117,3 +117,9 @@
 	}
 	return value
 }
+
+// Find is Get for a service that may have no value.
+func Find[T any](k *Kernel, name string) (T, bool) {
+	value, ok := k.values[name].(T)
+	return value, ok
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,4 +40,6 @@
 wait "$replay" || status=$?
 echo "== outcomes"
 cat "$WORK/report"
+echo "== steps of the group: under how many maps, how many mixed maps, and the skew of ranks"
+bin/standin history --group "$GROUP_URL" || status=1
 exit "$status"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -33,15 +33,28 @@
 	done
 }
 
-fleet_target() { # NAME ZONE KIND SERVES VERSION LINK OPERATIONS BACKEND
+fleet_target() { # NAME ZONE KIND SERVES VERSION LINK OPERATIONS BACKEND [GROUP-SETTINGS]
+	local group=""
+	if [ -n "${9:-}" ]; then group=", \"group\": $9"; fi
 	cat >"$WORK/$1.jsonc" <<-JSON
 		{"name": "$1", "zone": "$2", "kind": "$3", "serves": "$4", "version": "$5",
 		 "link": "$6", "operations": "$7", "backend": "http://$8", "capacity": 24,
-		 "reservation_keys": ["$FLEET_SECRET"]}
+		 "reservation_keys": ["$FLEET_SECRET"]$group}
 	JSON
 	fleet_spawn "$1" bin/targetd run --settings "$WORK/$1.jsonc"
 }
 
+# fleet_group prints the settings of one rank of the group of four ranks.
+fleet_group() { # RANK
+	local members="" sep="" i
+	for i in 0 1 2 3; do
+		members+="$sep{\"rank\": $i, \"link\": \"${PORTS[7 + i]}\"}"
+		sep=", "
+	done
+	printf '{"name": "brief", "platform_log": "%s", "engine": "%s", "ranks": [%s], "members": [%s], "window": 32, "slots": 5, "expert_gib": 0.04, "lease_timeout": "2s", "poll": "20ms", "plan_every": "1s"}' \
+		"$LOG_URL" "$GROUP_URL" "$1" "$members"
+}
+
 fleet_entry() { # NAME ZONE CALLERS LINK OPERATIONS
 	cat >"$WORK/$1.jsonc" <<-JSON
 		{"name": "$1", "zone": "$2", "callers": "$3", "public_url": "http://$3", "link": "$4", "operations": "$5",
@@ -52,18 +65,21 @@
 }
 
 # fleet_start starts the stand-ins, 6 targets (4 of brief-model in two versions,
-# 2 of roster-app) and 3 entries.
+# 2 of roster-app) and 3 entries. The hosts of brief-model hold a rank each of a
+# group in lock-step.
 fleet_start() {
-	mapfile -t PORTS < <(bin/standin ports --count 28)
+	mapfile -t PORTS < <(bin/standin ports --count 29)
 	LOG_URL=http://${PORTS[0]} HOSTS_URL=http://${PORTS[1]} EFFECTS_URL=http://${PORTS[2]}
 	local hosts="" sep="" i version zone
 	fleet_spawn log bin/standin log --listen "${PORTS[0]}"
 	fleet_spawn hosts bin/standin hosts --listen "${PORTS[1]}" --file "$WORK/hosts.json" --lag "${HOST_LAG:-1s}"
 	fleet_spawn roster bin/standin service --listen "${PORTS[2]}"
+	GROUP_URL=http://${PORTS[28]}
+	fleet_spawn group bin/standin group --listen "${PORTS[28]}" --log "$LOG_URL"
 	for i in 0 1 2 3; do
 		version=v$((i % 2 + 1)) zone=om-north-$(printf 'abca' | cut -c$((i + 1)))
 		fleet_spawn "engine-$i" bin/standin engine --listen "${PORTS[3 + i]}" --model-version "$version"
-		fleet_target "brief-$i" "$zone" draft brief-model "$version" "${PORTS[7 + i]}" "${PORTS[11 + i]}" "${PORTS[3 + i]}"
+		fleet_target "brief-$i" "$zone" draft brief-model "$version" "${PORTS[7 + i]}" "${PORTS[11 + i]}" "${PORTS[3 + i]}" "$(fleet_group "$i")"
 		hosts+="$sep{\"name\": \"brief-$i\", \"role\": \"target\", \"address\": \"${PORTS[7 + i]}\", \"zone\": \"$zone\", \"serves\": \"brief-model\"}"
 		sep=", "
 	done
@@ -84,7 +100,7 @@
 	for i in 0 1 2; do
 		fleet_entry "entry-$i" "om-north-$(printf 'abc' | cut -c$((i + 1)))" "${PORTS[19 + i]}" "${PORTS[22 + i]}" "${PORTS[25 + i]}"
 	done
-	for i in 0 1 2; do fleet_wait_http "${PORTS[19 + i]}"; done
+	for i in "${PORTS[@]}"; do fleet_wait_http "$i"; done
 }
 
 fleet_stop() {
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"camphormill.dev/parts/commandline"
 	"camphormill.dev/standin/engine"
 	"camphormill.dev/standin/faults"
+	"camphormill.dev/standin/group"
 	"camphormill.dev/standin/hosts"
 	"camphormill.dev/standin/logstore"
 	"camphormill.dev/standin/service"
@@ -26,7 +28,7 @@
 	root := &cli.Command{
 		Name:     "standin",
 		Usage:    "small stand-ins for the platform, with fault switches",
-		Commands: []*cli.Command{logVerb(), hostsVerb(), engineVerb(), serviceVerb(), portsVerb(), commandline.VersionVerb("standin")},
+		Commands: []*cli.Command{logVerb(), hostsVerb(), engineVerb(), groupVerb(), serviceVerb(), historyVerb(), portsVerb(), commandline.VersionVerb("standin")},
 	}
 	return commandline.Run(ctx, root, args, os.Stderr)
 }
@@ -98,6 +100,27 @@
 	}
 }
 
+func groupVerb() *cli.Command {
+	action := func(_ context.Context, c *cli.Command) error {
+		g := group.New(group.Config{
+			Ranks: c.Int("ranks"), Experts: c.Int("experts"), Step: c.Duration("step"), Load: c.Duration("load"), LogURL: c.String("log"),
+		})
+		go g.Run()
+		return serve(c, g.Routes)
+	}
+	return &cli.Command{
+		Name: "group", Usage: "serve the engines of a group of ranks in lock-step", Action: action,
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.IntFlag{Name: "ranks", Value: 4, Usage: "`N` ranks"},
+			&cli.IntFlag{Name: "experts", Value: 16, Usage: "`N` experts"},
+			&cli.DurationFlag{Name: "step", Value: 10 * time.Millisecond, Usage: "`TIME` of an even step"},
+			&cli.DurationFlag{Name: "load", Value: 100 * time.Millisecond, Usage: "`TIME` to fetch the weights of a map"},
+			&cli.StringFlag{Name: "log", Required: true, Usage: "read the layouts of maps from the log at `URL`"},
+		},
+	}
+}
+
 func serviceVerb() *cli.Command {
 	action := func(_ context.Context, c *cli.Command) error {
 		return serve(c, service.New(c.Duration("delay")).Routes)
@@ -108,6 +131,29 @@
 	}
 }
 
+// historyVerb prints what a group did, and fails when a step mixed maps or none
+// was made.
+func historyVerb() *cli.Command {
+	action := func(_ context.Context, c *cli.Command) error {
+		h, err := group.Ask(c.String("group"))
+		if err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+		if _, err := fmt.Fprintf(c.Root().Writer, "%d steps under %d maps, %d mixed; mean skew %.3f under the first map, %.3f under the last\n",
+			h.Steps, h.Maps, h.Mixed, h.SkewFirstMap, h.SkewLastMap); err != nil {
+			return err
+		}
+		if h.Mixed > 0 || h.Steps == 0 {
+			return commandline.Exit(commandline.ExitFailed, errors.New("the group mixed maps or made no step"))
+		}
+		return nil
+	}
+	return &cli.Command{
+		Name: "history", Usage: "print the steps of a group", Action: action,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "group", Required: true, Usage: "ask the group at `URL`"}},
+	}
+}
+
 // Ports are picked below the range from which the system takes the ports of
 // outgoing connections, so that none is taken before its process starts.
 const (
--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -20,6 +21,7 @@
 	"camphormill.dev/parts/settings"
 	"camphormill.dev/targetd/engine"
 	"camphormill.dev/targetd/gate"
+	"camphormill.dev/targetd/group"
 	"camphormill.dev/targetd/service"
 )
 
@@ -32,6 +34,11 @@
 	serviceGate          = "gate"
 	serviceLink          = "link"
 	serviceDrain         = "drain"
+	serviceGroup         = "group"
+	serviceLeader        = "leader"
+	serviceDriving       = "driving"
+	serviceLeading       = "leading"
+	servicePlanning      = "planning"
 )
 
 // newKernel registers the services of targetd.
@@ -42,6 +49,7 @@
 	k.Register(value(serviceConfiguration, preset.NewHolder()))
 	k.Register(daemon.HTTPService(serviceOperations, s.Operations, []string{serviceMetrics, serviceReadiness}, operations))
 	k.Register(gateService(s))
+	registerGroup(k, s.Group, daemon.Part(log, serviceGroup))
 	k.Register(linkService(s, daemon.Part(log, serviceLink)))
 	k.Register(drainService(daemon.Part(log, serviceDrain)))
 	return k
@@ -110,6 +118,9 @@
 			Offset: holder.Offset,
 			Behind: fetchConfiguration(holder, log),
 		})
+		if d, ok := kernel.Find[*group.Driver](k, serviceGroup); ok {
+			maps.Copy(server.Methods, d.Methods(context.Background()))
+		}
 		go server.Serve(listener)
 		return server, nil
 	}
@@ -123,7 +134,7 @@
 		time.Sleep(closeDelay)
 		return nil
 	}
-	return kernel.Service{Name: serviceLink, Needs: []string{serviceGate, serviceConfiguration}, Start: start, Stop: stop}
+	return kernel.Service{Name: serviceLink, Needs: []string{serviceGate, serviceConfiguration, serviceGroup}, Start: start, Stop: stop}
 }
 
 // closeDelay is how long the links stay up after the last answer.
--- a/targetd/command/settings.go
+++ b/targetd/command/settings.go
@@ -1,10 +1,12 @@
 package command
 
 import (
+	"strconv"
 	"time"
 
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/settings"
+	"camphormill.dev/targetd/group"
 )
 
 // Settings is the settings file of targetd.
@@ -24,6 +26,24 @@
 	ReservationKeys []string          `json:"reservation_keys"`
 	Reservations    int               `json:"reservations"`   // remembered at most
 	LongestWindow   settings.Duration `json:"longest_window"` // furthest deadline taken
+
+	// Group is set on hosts whose engine holds ranks of a group.
+	Group *Group `json:"group,omitempty"`
+}
+
+// Group says which ranks of which group this host holds.
+type Group struct {
+	Name         string            `json:"name"`
+	PlatformLog  string            `json:"platform_log"` // URL
+	Engine       string            `json:"engine"`       // URL of the order interface
+	Ranks        []int             `json:"ranks"`        // of this host
+	Members      []group.Member    `json:"members"`      // one for each rank of the group
+	Window       int               `json:"window"`       // steps permitted ahead
+	Slots        int               `json:"slots"`        // experts of a layer on a rank
+	ExpertGiB    float64           `json:"expert_gib"`   // of one expert's weights
+	LeaseTimeout settings.Duration `json:"lease_timeout"`
+	Poll         settings.Duration `json:"poll"`       // of the engine's progress
+	PlanEvery    settings.Duration `json:"plan_every"` // between two plans
 }
 
 // Defaults returns the settings that hold where the file says nothing.
@@ -51,4 +71,31 @@
 	c.Positive("reservations", int64(s.Reservations))
 	c.Positive("longest_window", int64(s.LongestWindow))
 	c.Keys("reservation_keys", s.ReservationKeys)
+	if s.Group != nil {
+		s.Group.check(c)
+	}
+}
+
+func (g *Group) check(c *settings.Checker) {
+	c.Name("group.name", g.Name)
+	c.URL("group.platform_log", g.PlatformLog)
+	c.URL("group.engine", g.Engine)
+	c.Require(len(g.Ranks) > 0, "group.ranks", "empty", "name the ranks of this host")
+	c.Positive("group.window", int64(g.Window))
+	c.Positive("group.slots", int64(g.Slots))
+	c.Positive("group.lease_timeout", int64(g.LeaseTimeout))
+	c.Positive("group.poll", int64(g.Poll))
+	c.Positive("group.plan_every", int64(g.PlanEvery))
+	c.Require(g.ExpertGiB > 0, "group.expert_gib", "not above zero", "write the size of one expert")
+	seen := map[int]bool{}
+	for i, m := range g.Members {
+		field := "group.members[" + strconv.Itoa(i) + "]"
+		c.Address(field+".link", m.Link)
+		c.Require(!seen[m.Rank] && m.Rank >= 0 && m.Rank < len(g.Members), field+".rank",
+			"not each rank from 0 up once", "name each rank of the group once")
+		seen[m.Rank] = true
+	}
+	for _, rank := range g.Ranks {
+		c.Require(seen[rank], "group.ranks", "not among the members", "add this host's ranks to members")
+	}
 }
--- a/targetd/group/engine.go
+++ b/targetd/group/engine.go
@@ -19,4 +19,6 @@
 	// Load fetches the weights that the rank needs under the map and returns
 	// once they are there.
 	Load func(ctx context.Context, rank int, m expertmap.MapID) error
+	// Loads returns the load of experts, in tokens a second, by layer.
+	Loads func(ctx context.Context) ([][]float64, error)
 }
--- a/targetd/group/engine_http.go
+++ b/targetd/group/engine_http.go
@@ -15,7 +15,7 @@
 // NewHTTPEngine returns the engine served at the base URL.
 func NewHTTPEngine(base string) Engine {
 	h := httpEngine{base: base, client: &http.Client{}}
-	return Engine{Completed: h.completed, Grant: h.grant, Load: h.load}
+	return Engine{Completed: h.completed, Grant: h.grant, Load: h.load, Loads: h.loads}
 }
 
 type httpEngine struct {
@@ -42,6 +42,14 @@
 	return h.do(ctx, http.MethodPost, fmt.Sprintf("/v1/ranks/%d/load", rank), body, nil)
 }
 
+func (h httpEngine) loads(ctx context.Context) ([][]float64, error) {
+	var answer struct {
+		Layers [][]float64 `json:"layers"`
+	}
+	err := h.do(ctx, http.MethodGet, "/v1/loads", nil, &answer)
+	return answer.Layers, err
+}
+
 func (h httpEngine) do(ctx context.Context, method, path string, body, answer any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/targetd/group/leader.go
+++ b/targetd/group/leader.go
@@ -52,8 +52,11 @@
 	config LeaderConfig
 	table  *lease.Table
 	maps   *mapReader
+
+	mu     sync.Mutex // guards what follows
 	conns  map[string]*link.Conn
-	mu     sync.Mutex // guards conns
+	leads  bool
+	newest Map
 }
 
 // orderTimeout bounds one order.
@@ -82,6 +85,9 @@
 		switch {
 		case holder == l.config.Incarnation && l.maps.newest != expertmap.NoMap:
 			l.lead(ctx, expertmap.Fence(fence))
+		case holder == l.config.Incarnation:
+			l.renew(ctx, expertmap.Fence(fence)) // until there is a map to lead to
+			pause(ctx, l.config.Timeout/3)
 		case l.table.Free(l.config.Now(), l.config.Group):
 			pause(ctx, l.config.Wait())
 			if l.read(ctx) == nil && l.table.Free(l.config.Now(), l.config.Group) {
@@ -119,9 +125,33 @@
 		return err
 	}
 	l.maps.take(page)
+	holder, _, _ := l.table.Holder(l.config.Group)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leads = holder == l.config.Incarnation
+	l.newest = l.maps.record
 	return nil
 }
 
+// Leads says whether this process held the lease when it last read the log.
+func (l *Leader) Leads() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leads
+}
+
+// Layout returns the layout of the newest map, or nil.
+func (l *Leader) Layout() Layout {
+	l.mu.Lock()
+	record := l.newest
+	l.mu.Unlock()
+	var layout Layout
+	if json.Unmarshal(record.Layout, &layout) != nil {
+		return nil
+	}
+	return layout
+}
+
 // append adds a lease record. A lost answer needs no care: reading shows who
 // holds the lease.
 func (l *Leader) append(ctx context.Context, r lease.Record) {
@@ -265,6 +295,7 @@
 	group  string
 	next   int64
 	newest expertmap.MapID
+	record Map // that of newest
 }
 
 func (m *mapReader) take(page platform.Page) {
@@ -273,7 +304,7 @@
 		m.next = max(m.next, r.Offset+1)
 		var record Map
 		if json.Unmarshal(r.Data, &record) == nil && record.Group == m.group {
-			m.newest = expertmap.MapID(r.Offset)
+			m.newest, m.record = expertmap.MapID(r.Offset), record
 		}
 	}
 }
