Experiments: routes, overload, limits, by the daemons' own parts

Cause: routing, retries and limits had no measurement. Ruled out: nothing yet. Next: a target that is full says so at once.

--- a/millload/command/experiment_verb.go
+++ b/millload/command/experiment_verb.go
@@ -12,13 +12,16 @@
 
 	"camphormill.dev/millload/experiment"
 	"camphormill.dev/millload/experts"
+	"camphormill.dev/millload/limits"
+	"camphormill.dev/millload/overload"
+	"camphormill.dev/millload/routes"
 	"camphormill.dev/parts/commandline"
 )
 
 // experiments is every experiment by name.
 func experiments() map[string]experiment.Kind {
 	table := map[string]experiment.Kind{}
-	for _, kind := range []experiment.Kind{experts.Kind()} {
+	for _, kind := range []experiment.Kind{experts.Kind(), limits.Kind(), overload.Kind(), routes.Kind()} {
 		table[kind.Name] = kind
 	}
 	return table
