Control traffic within its share: records only with news, slower heartbeats for many links

Ruled out: slower rounds (strikes and versions would spread slower too). Targets fetch a new version from one entry at a time.

--- a/entryd/command/self.go
+++ b/entryd/command/self.go
@@ -23,22 +23,23 @@
 // requests a second at one entry.
 const demandFloor = 1
 
-// peerSilence is how long a peer may be silent and still count as live.
-const peerSilence = 15 * time.Second
-
 // Budgets that are divided among the entries.
 const (
-	gossipBytesPerSecond = 4096 // of one entry, for membership
-	recordBytes          = 300  // of one record, with its share of an exchange
-	gossipCopies         = 3    // of each record that an entry sends
-	firstRound           = time.Second
+	gossipBytesPerSecond = 3072 // of one entry, both ways, for records
+	recordBytes          = 400  // of one record in an exchange
+	gossipCopies         = 6    // of each record, three sent and three received
+	shortestRefresh      = 10 * time.Second
 	claimAppends         = 250 // of all entries, a second
 )
 
-// gossipRound is the time between two rounds that keeps an entry in its budget.
-func gossipRound(entries int) time.Duration {
-	perRound := float64(gossipCopies * recordBytes * entries)
-	return max(firstRound, time.Duration(perRound/gossipBytesPerSecond*float64(time.Second)))
+// gossipRound is the time between two rounds of exchanges.
+const gossipRound = time.Second
+
+// recordRefresh is the time between two records of one entry that keeps every
+// entry in its budget.
+func recordRefresh(entries int) time.Duration {
+	perRefresh := float64(gossipCopies * recordBytes * entries)
+	return max(shortestRefresh, time.Duration(perRefresh/gossipBytesPerSecond*float64(time.Second)))
 }
 
 // claimInterval is the time between two appends that keeps all entries in the
--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -98,14 +98,19 @@
 	holder := kernel.Get[*preset.Holder](k, serviceHolder)
 	var p *peers.Peers
 	p = peers.New(peers.Config{
-		Self:    s.Name,
-		Dial:    pool.DialTCP,
-		Now:     time.Now,
-		IntN:    rand.IntN,
-		Round:   func() time.Duration { return gossipRound(len(p.Live())) },
-		Silence: peerSilence,
-		Record:  func() membership { return me.record(holder.Offset()) },
-		Holder:  holder,
+		Self:  s.Name,
+		Dial:  pool.DialTCP,
+		Now:   time.Now,
+		IntN:  rand.IntN,
+		Round: func() time.Duration { return gossipRound },
+		Refresh: func() time.Duration {
+			if p == nil {
+				return shortestRefresh // it is being made
+			}
+			return recordRefresh(len(p.Live()))
+		},
+		Record: func() membership { return me.record(holder.Offset()) },
+		Holder: holder,
 		OnStrike: func(strike quarantine.Strike) {
 			kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).MergeStrike(strike)
 		},
--- a/entryd/command/settings_test.go
+++ b/entryd/command/settings_test.go
@@ -38,8 +38,8 @@
 func TestBudgetsHoldAtFullSize(t *testing.T) {
 	is := is.New(t)
 	const entries = 400
-	sent := float64(gossipCopies*recordBytes*entries) / gossipRound(entries).Seconds()
-	is.True(sent <= gossipBytesPerSecond+1)
+	exchanged := float64(gossipCopies*recordBytes*entries) / recordRefresh(entries).Seconds()
+	is.True(exchanged <= gossipBytesPerSecond+1)
 	appends := entries / claimInterval(entries).Seconds()
 	is.True(appends <= claimAppends+1)
 }
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -23,7 +23,10 @@
 
 // antiEntropyRounds is how many rounds pass between two full comparisons with a
 // peer, which mend what single messages missed.
-const antiEntropyRounds = 8
+const antiEntropyRounds = 30
+
+// silentRefreshes is how many records in a row may be missed.
+const silentRefreshes = 3
 
 // callTimeout bounds one call to a peer.
 const callTimeout = time.Second
@@ -36,12 +39,14 @@
 
 // Config is what a Peers is built from.
 type Config struct {
-	Self    string
-	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Now     func() time.Time
-	IntN    func(n int) int
-	Round   func() time.Duration // time between two rounds
-	Silence time.Duration
+	Self  string
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	Now   func() time.Time
+	IntN  func(n int) int
+	Round func() time.Duration // time between two rounds
+	// Refresh is the time after which a record is sent anew though nothing
+	// changed. A peer silent for three times as long no longer counts as live.
+	Refresh func() time.Duration
 	// Record is this daemon's own word about itself, without the sequence.
 	Record func() membership.Record
 	Holder *preset.Holder
@@ -60,13 +65,15 @@
 	seeds    map[string]string   // name to address, from settings and host list
 	conns    map[string]*link.Conn
 	sequence int64
+	told     membership.Record // the newest of our own
+	toldAt   time.Time
 }
 
 // New returns a Peers that knows nobody.
 func New(c Config) *Peers {
 	return &Peers{
 		config: c,
-		table:  membership.NewTable(c.Self, c.Silence),
+		table:  membership.NewTable(c.Self, silentRefreshes*c.Refresh()),
 		seeds:  map[string]string{},
 		conns:  map[string]*link.Conn{},
 	}
@@ -96,6 +103,12 @@
 	return p.table.Reachable(p.config.Now(), membership.RoleEntry)
 }
 
+func (p *Peers) heard(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Heard(p.config.Now(), name)
+}
+
 func (p *Peers) suspect(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,7 +118,7 @@
 // Run goes round after round until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		p.Announce()
+		p.announce(false)
 		p.gossip(ctx, round%antiEntropyRounds == 0)
 		timer := time.NewTimer(p.config.Round())
 		select {
@@ -116,21 +129,28 @@
 	}
 }
 
-// Announce renews this daemon's own record.
-func (p *Peers) Announce() {
+// announce renews this daemon's own record when it tells news or is old.
+func (p *Peers) announce(always bool) {
 	record := p.config.Record()
+	refresh := p.config.Refresh()
+	now := p.config.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.table.SetSilence(silentRefreshes * refresh)
+	p.table.Forget(now)
+	if !always && record.Resembles(p.told) && now.Sub(p.toldAt) < refresh {
+		return
+	}
 	p.sequence++
 	record.Sequence = p.sequence
-	p.table.Put(p.config.Now(), record)
+	p.told, p.toldAt = record, now
+	p.table.Put(now, record)
 	p.fresh = append(p.fresh, record)
-	p.table.Forget(p.config.Now())
 }
 
 // AnnounceNow renews the record and tells all peers at once, when it leaves.
 func (p *Peers) AnnounceNow(ctx context.Context) {
-	p.Announce()
+	p.announce(true)
 	p.mu.Lock()
 	fresh := p.fresh
 	p.fresh = nil
@@ -189,11 +209,12 @@
 // message is one exchange on the wire.
 type message struct {
 	membership.Exchange
-	ConfigOffset int64 `json:"config_offset"`
+	From         string `json:"from"`
+	ConfigOffset int64  `json:"config_offset"`
 }
 
 func (p *Peers) message(e membership.Exchange) message {
-	return message{Exchange: e, ConfigOffset: p.config.Holder.Offset()}
+	return message{Exchange: e, From: p.config.Self, ConfigOffset: p.config.Holder.Offset()}
 }
 
 func (p *Peers) exchange(ctx context.Context, name, address string, m message) {
@@ -210,6 +231,7 @@
 		p.suspect(name)
 		return
 	}
+	p.heard(name)
 	p.merge(answer.Records)
 	p.catchUp(ctx, conn, answer.ConfigOffset)
 }
@@ -334,6 +356,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.heard(m.From)
 	p.merge(m.Records)
 	answer := p.message(membership.Exchange{})
 	if m.Marks != nil {
--- a/entryd/pool/member.go
+++ b/entryd/pool/member.go
@@ -181,7 +181,20 @@
 	if m.configOffset < m.pool.config.ConfigOffset() {
 		return min(catchUpHeartbeat, m.pool.config.Heartbeat)
 	}
-	return m.pool.config.Heartbeat
+	return max(m.pool.config.Heartbeat, heartbeatInterval(len(m.pool.members)))
+}
+
+// What all heartbeats of an entry may cost, and what one costs, both ways.
+const (
+	heartbeatBytesPerSecond = 4096
+	heartbeatBytes          = 170
+)
+
+// heartbeatInterval is the time between two heartbeats on a link that keeps an
+// entry with many links in its budget. Links with traffic learn the load from
+// answers, and a target that leaves says so by itself.
+func heartbeatInterval(links int) time.Duration {
+	return time.Duration(links) * time.Second * heartbeatBytes / heartbeatBytesPerSecond
 }
 
 func (m *member) heartbeat(ctx context.Context, conn *link.Conn) bool {
@@ -219,9 +232,21 @@
 		return nil, nil
 	}
 	methods[contract.MethodFrame] = link.Method{Inline: true, Run: frame}
+	methods[contract.MethodLeaving] = link.Method{Inline: true, Run: m.noteLeaving}
 	return methods
 }
 
+// noteLeaving keeps new work from a target that says it leaves.
+func (m *member) noteLeaving(context.Context, *link.Conn, json.RawMessage) (any, error) {
+	m.pool.mu.Lock()
+	defer m.pool.mu.Unlock()
+	m.leaving = true
+	if !m.removed {
+		m.pool.refresh(m)
+	}
+	return nil, nil
+}
+
 // DialTCP is the Dial of real links.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
--- a/parts/claim/claim_test.go
+++ b/parts/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -67,6 +68,27 @@
 	is.Equal(winner, "third")
 }
 
+// BenchmarkMemory reports the heap that one remembered key takes.
+func BenchmarkMemory(b *testing.B) {
+	const n = 100_000
+	for b.Loop() {
+		before := heap()
+		table := claim.NewTable(time.Hour)
+		for i := range n {
+			table.Fold(int64(i), start, batch(key(fmt.Sprint("key ", i), fmt.Sprintf("%0240d", i))))
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/key")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func FuzzFold(f *testing.F) {
 	f.Add(batch(key("k", "r")))
 	f.Add([]byte(`{"claims":null}`))
--- a/parts/contract/call.go
+++ b/parts/contract/call.go
@@ -10,6 +10,7 @@
 	MethodCancel        = "cancel"
 	MethodHeartbeat     = "heartbeat"
 	MethodFrame         = "frame"
+	MethodLeaving       = "leaving" // a target tells its entries
 	MethodExchange      = "exchange"
 	MethodConfiguration = "configuration"
 )
@@ -43,12 +44,12 @@
 
 // Load is a target's own view of its load.
 type Load struct {
-	Running  int     `json:"running"`   // admitted and not finished
-	Queued   int     `json:"queued"`    // waiting at the gate
-	Capacity int     `json:"capacity"`  // how many may run side by side
-	StepMS   float64 `json:"step_ms"`   // recent step time of its slowest rank
-	EngineMS float64 `json:"engine_ms"` // recent service time of one request
-	Leaving  bool    `json:"leaving"`
+	Running  int     `json:"running,omitempty"`   // admitted and not finished
+	Queued   int     `json:"queued,omitempty"`    // waiting at the gate
+	Capacity int     `json:"capacity"`            // how many may run side by side
+	StepMS   float64 `json:"step_ms,omitempty"`   // recent step time of its slowest rank
+	EngineMS float64 `json:"engine_ms,omitempty"` // recent service time of one request
+	Leaving  bool    `json:"leaving,omitempty"`
 }
 
 // HeartbeatRequest carries the entry's configuration version to the target.
@@ -58,9 +59,8 @@
 
 // Heartbeat answers with the target's load and configuration version.
 type Heartbeat struct {
-	Incarnation  string `json:"incarnation"`
-	ConfigOffset int64  `json:"config_offset"`
-	Load         Load   `json:"load"`
+	ConfigOffset int64 `json:"config_offset"`
+	Load         Load  `json:"load"`
 }
 
 // Call is one attempt of one request, from entryd to targetd.
--- a/parts/link/server.go
+++ b/parts/link/server.go
@@ -55,6 +55,21 @@
 	}()
 }
 
+// NotifyAll sends a message without an answer to every connected peer.
+func (s *Server) NotifyAll(ctx context.Context, method string, params any) {
+	s.mu.Lock()
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, c := range conns {
+		wg.Go(func() { _ = c.Notify(ctx, method, params) }) // a lost peer learns it by the loss
+	}
+	wg.Wait()
+}
+
 // Drain waits until every call that was begun has been answered.
 func (s *Server) Drain(ctx context.Context) error {
 	return s.active.wait(ctx)
--- a/parts/membership/membership.go
+++ b/parts/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -36,6 +37,23 @@
 	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
+// Resembles says whether two records of one process tell the same but for the
+// configuration version and demand that differs by less than a quarter. Such a
+// record is no news.
+func (r Record) Resembles(old Record) bool {
+	if r.Started != old.Started || r.Leaving != old.Leaving || r.Address != old.Address || len(r.Demand) != len(old.Demand) {
+		return false
+	}
+	const noise = 0.25
+	for organisation, demand := range r.Demand {
+		before, known := old.Demand[organisation]
+		if !known || math.Abs(demand-before) > noise*before {
+			return false
+		}
+	}
+	return true
+}
+
 // newer says whether r replaces old.
 func (r Record) newer(old Record) bool {
 	if r.Started != old.Started {
@@ -132,6 +150,21 @@
 	return h.record.Origin == t.self || now.Sub(h.heardAt) <= t.silence
 }
 
+// SetSilence changes after how long without news an origin no longer counts as
+// live; it grows with the time between two records of an origin.
+func (t *Table) SetSilence(d time.Duration) {
+	t.silence = d
+}
+
+// Heard notes direct contact with an origin, which says that it lives.
+func (t *Table) Heard(now time.Time, origin string) {
+	if h, ok := t.records[origin]; ok {
+		h.heardAt = now
+		h.suspect = false
+		t.records[origin] = h
+	}
+}
+
 // Suspect notes that an origin could not be reached.
 func (t *Table) Suspect(origin string) {
 	if h, ok := t.records[origin]; ok {
--- a/parts/preset/preset_test.go
+++ b/parts/preset/preset_test.go
@@ -275,6 +275,26 @@
 	is.Equal(s.Active, preset.GenesisName)
 }
 
+// BenchmarkChange measures a change of one organisation among 44,000, and reports
+// the size of the whole state as JSON.
+func BenchmarkChange(b *testing.B) {
+	p := preset.Genesis()
+	p.Name = "full"
+	p.Organisations = map[string]preset.Organisation{}
+	for i := range 44_000 {
+		p.Organisations[fmt.Sprint("organisation-", i)] = p.Default
+	}
+	s := preset.NewState().Fold(preset.Entry{Offset: 0, Data: encode(preset.Record{Kind: preset.RecordPreset, ChangeID: "a", BaseOffset: -1, Preset: &p})})
+	b.ReportAllocs()
+	for b.Loop() {
+		change := preset.Change{Preset: "full", Organisations: map[string]preset.Organisation{"organisation-7": p.Default}}
+		s = s.Fold(preset.Entry{Offset: s.Offset + 1, Data: encode(preset.Record{
+			Kind: preset.RecordChange, ChangeID: fmt.Sprint(s.Offset), BaseOffset: s.Offset, Change: &change,
+		})})
+	}
+	b.ReportMetric(float64(len(normal(s))), "B/state")
+}
+
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(`{"kind":"activate","change_id":"a","activate":"peak"}`))
 	f.Add([]byte(`{"kind":"snapshot","snapshot":{"through_offset":3,"state":{"offset":3}}}`))
--- a/parts/reservation/reservation_test.go
+++ b/parts/reservation/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -79,6 +80,30 @@
 	is.Equal(len(answer.Body), 0)
 }
 
+// BenchmarkMemory reports the heap that one remembered reservation with a small
+// answer takes.
+func BenchmarkMemory(b *testing.B) {
+	const n = 100_000
+	for b.Loop() {
+		before := heap()
+		l := newLedger(n)
+		for i := range n {
+			c := claims(fmt.Sprint(i))
+			_, _ = l.Begin(start, c, "muscat", 1)
+			l.Finish(start, c.ID, done("{\"effects\":1}"))
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/reservation")
+		runtime.KeepAlive(l)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func FuzzOpen(f *testing.F) {
 	token, err := sealer.Seal(claims("a"))
 	if err != nil {
--- a/proofs/configuration_test.go
+++ b/proofs/configuration_test.go
@@ -91,7 +91,7 @@
 	f.cancel, f.holder, f.started, f.highest = cancel, preset.NewHolder(), time.Now(), preset.NoOffset
 	p := peers.New(peers.Config{
 		Self: f.name, Dial: w.net.dial(f.name), Now: time.Now, IntN: w.random.intn,
-		Round: func() time.Duration { return time.Second }, Silence: 15 * time.Second,
+		Round: func() time.Duration { return time.Second }, Refresh: func() time.Duration { return 5 * time.Second },
 		Record: func() membership.Record {
 			return membership.Record{Origin: f.name, Role: membership.RoleEntry, Address: f.name, Started: f.started.UnixNano()}
 		},
--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -136,7 +137,12 @@
 
 // fetchConfiguration asks the entry that told of a newer version for it.
 func fetchConfiguration(holder *preset.Holder, log zerolog.Logger) func(peer *link.Conn, offset int64) {
+	var fetching atomic.Bool
 	return func(peer *link.Conn, offset int64) {
+		if !fetching.CompareAndSwap(false, true) {
+			return // all entries tell of a change at once; one answer is enough
+		}
+		defer fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		var update preset.Update
--- a/targetd/gate/methods.go
+++ b/targetd/gate/methods.go
@@ -50,7 +50,7 @@
 		if request.ConfigOffset > offset {
 			go c.Behind(peer, offset)
 		}
-		return contract.Heartbeat{Incarnation: g.config.Incarnation, ConfigOffset: offset, Load: g.Load()}, nil
+		return contract.Heartbeat{ConfigOffset: offset, Load: g.Load()}, nil
 	}
 }
 
