--- a/entryd/command/self.go
+++ b/entryd/command/self.go
@@ -13,12 +13,10 @@
 	"camphormill.dev/parts/identity"
 	"camphormill.dev/parts/kernel"
 	"camphormill.dev/parts/limit"
-	members "camphormill.dev/parts/membership"
+	"camphormill.dev/parts/membership"
 	"camphormill.dev/parts/preset"
 )
 
-type membership = members.Record
-
 // demandFloor is the demand from which an organisation counts as heavy, in
 // requests a second at one entry.
 const demandFloor = 1
@@ -76,13 +74,13 @@
 	m.demand = demand
 }
 
-func (m *self) record(offset int64) membership {
+func (m *self) record(offset int64) membership.Record {
 	m.mu.Lock()
 	leaving, demand := m.leaving, m.demand
 	m.mu.Unlock()
-	record := membership{
+	record := membership.Record{
 		Origin:       m.name,
-		Role:         members.RoleEntry,
+		Role:         membership.RoleEntry,
 		Address:      m.settings.Link,
 		Public:       m.settings.PublicURL,
 		Operations:   m.settings.Operations,
@@ -99,7 +97,7 @@
 }
 
 // addresses lists the entries that take callers, those of the zone first.
-func addresses(live []membership, zone string) []door.Address {
+func addresses(live []membership.Record, zone string) []door.Address {
 	var near, far []door.Address
 	for _, r := range live {
 		address := door.Address{URL: r.Public, Zone: r.Zone}
@@ -115,7 +113,7 @@
 }
 
 // share is this entry's part of an organisation's limit, by published demand.
-func share(organisation, name string, live []membership) float64 {
+func share(organisation, name string, live []membership.Record) float64 {
 	own, total, entries := 0.0, 0.0, 0
 	for _, r := range live {
 		if r.Leaving && r.Origin != name {
@@ -132,14 +130,14 @@
 
 // Status is what an entry tells operators of itself and of what it sees.
 type Status struct {
-	Entry        string       `json:"entry"`
-	Zone         string       `json:"zone"`
-	Incarnation  string       `json:"incarnation"`
-	Loaded       bool         `json:"loaded"`
-	ConfigOffset int64        `json:"config_offset"`
-	Active       string       `json:"active"`
-	Targets      pool.Summary `json:"targets"`
-	Peers        []membership `json:"peers"`
+	Entry        string              `json:"entry"`
+	Zone         string              `json:"zone"`
+	Incarnation  string              `json:"incarnation"`
+	Loaded       bool                `json:"loaded"`
+	ConfigOffset int64               `json:"config_offset"`
+	Active       string              `json:"active"`
+	Targets      pool.Summary        `json:"targets"`
+	Peers        []membership.Record `json:"peers"`
 }
 
 func status(k *kernel.Kernel) http.HandlerFunc {
--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -20,6 +20,7 @@
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/kernel"
 	"camphormill.dev/parts/link"
+	"camphormill.dev/parts/membership"
 	"camphormill.dev/parts/platform"
 	"camphormill.dev/parts/preset"
 	"camphormill.dev/parts/quarantine"
@@ -109,7 +110,7 @@
 			}
 			return recordRefresh(len(p.Live()))
 		},
-		Record: func() membership { return me.record(holder.Offset()) },
+		Record: func() membership.Record { return me.record(holder.Offset()) },
 		Holder: holder,
 		OnStrike: func(strike quarantine.Strike) {
 			kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).MergeStrike(strike)
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -58,12 +58,12 @@
 // Peers is safe for concurrent use.
 type Peers struct {
 	config Config
+	conns  *link.Cache
 
 	mu       sync.Mutex
 	table    *membership.Table
 	fresh    []membership.Record // news to pass on in the next round
 	seeds    map[string]string   // name to address, from settings and host list
-	conns    map[string]*link.Conn
 	sequence int64
 	told     membership.Record // the newest of our own
 	toldAt   time.Time
@@ -71,12 +71,13 @@
 
 // New returns a Peers that knows nobody.
 func New(c Config) *Peers {
-	return &Peers{
+	p := &Peers{
 		config: c,
 		table:  membership.NewTable(c.Self, silentRefreshes*c.Refresh()),
 		seeds:  map[string]string{},
-		conns:  map[string]*link.Conn{},
 	}
+	p.conns = &link.Cache{Dial: c.Dial, Methods: p.Methods}
+	return p
 }
 
 // AddSeed names a peer's address, from settings or the host list.
@@ -117,6 +118,7 @@
 
 // Run goes round after round until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
+	defer p.conns.Close()
 	for round := 0; ctx.Err() == nil; round++ {
 		p.announce(false)
 		p.gossip(ctx, round%antiEntropyRounds == 0)
@@ -218,16 +220,16 @@
 }
 
 func (p *Peers) exchange(ctx context.Context, name, address string, m message) {
-	conn, err := p.conn(ctx, name, address)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := p.conns.Get(ctx, address)
 	if err != nil {
 		p.suspect(name)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	var answer message
 	if err := conn.Call(ctx, contract.MethodExchange, m, &answer); err != nil {
-		p.drop(name, conn)
+		p.conns.Drop(address, conn)
 		p.suspect(name)
 		return
 	}
@@ -259,39 +261,6 @@
 	}
 }
 
-func (p *Peers) conn(ctx context.Context, name, address string) (*link.Conn, error) {
-	p.mu.Lock()
-	conn := p.conns[name]
-	p.mu.Unlock()
-	if conn != nil {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	raw, err := p.config.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	conn = link.NewConn(raw, p.Methods())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if other := p.conns[name]; other != nil {
-		conn.Close()
-		return other, nil
-	}
-	p.conns[name] = conn
-	return conn, nil
-}
-
-func (p *Peers) drop(name string, conn *link.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[name] == conn {
-		delete(p.conns, name)
-	}
-	conn.Close()
-}
-
 // AskConfiguration fetches from a few random peers what follows the version; it
 // serves while the log cannot be read.
 func (p *Peers) AskConfiguration(ctx context.Context, _ int64) {
@@ -331,7 +300,7 @@
 func (p *Peers) ShareStrike(ctx context.Context, s quarantine.Strike) {
 	m := strikeMessage{Fingerprint: s.Fingerprint, Incarnation: s.Incarnation, LastsMS: s.Until.Sub(p.config.Now()).Milliseconds()}
 	p.tellAll(context.WithoutCancel(ctx), strikeTimeout, func(ctx context.Context, name, address string) {
-		conn, err := p.conn(ctx, name, address)
+		conn, err := p.conns.Get(ctx, address)
 		if err != nil {
 			return
 		}
--- a/millload/experts/experts.go
+++ b/millload/experts/experts.go
@@ -1,7 +1,6 @@
 package experts
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -38,16 +37,7 @@
 
 // Kind is the experiment's entry in the table of experiments.
 func Kind() experiment.Kind {
-	return experiment.Kind{
-		Name: "experts", Usage: "placement of experts: skew against bytes moved",
-		Run: func(raw json.RawMessage) (*experiment.Report, error) {
-			var s Settings
-			if err := experiment.Decode(raw, &s); err != nil {
-				return nil, err
-			}
-			return run(s), nil
-		},
-	}
+	return experiment.New("experts", "placement of experts: skew against bytes moved", run)
 }
 
 // policy decides a layout for the next interval.
--- a/millload/limits/limits.go
+++ b/millload/limits/limits.go
@@ -3,7 +3,6 @@
 package limits
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -28,16 +27,7 @@
 
 // Kind is the experiment's entry in the table of experiments.
 func Kind() experiment.Kind {
-	return experiment.Kind{
-		Name: "limits", Usage: "an organisation's limit over many entries while traffic shifts",
-		Run: func(raw json.RawMessage) (*experiment.Report, error) {
-			var s Settings
-			if err := experiment.Decode(raw, &s); err != nil {
-				return nil, err
-			}
-			return run(s), nil
-		},
-	}
+	return experiment.New("limits", "an organisation's limit over many entries while traffic shifts", run)
 }
 
 func run(s Settings) *experiment.Report {
--- a/millload/overload/overload.go
+++ b/millload/overload/overload.go
@@ -3,7 +3,6 @@
 package overload
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -30,16 +29,7 @@
 
 // Kind is the experiment's entry in the table of experiments.
 func Kind() experiment.Kind {
-	return experiment.Kind{
-		Name: "overload", Usage: "goodput when load goes to twice the capacity and back",
-		Run: func(raw json.RawMessage) (*experiment.Report, error) {
-			var s Settings
-			if err := experiment.Decode(raw, &s); err != nil {
-				return nil, err
-			}
-			return run(s), nil
-		},
-	}
+	return experiment.New("overload", "goodput when load goes to twice the capacity and back", run)
 }
 
 func run(s Settings) *experiment.Report {
--- a/millload/routes/routes.go
+++ b/millload/routes/routes.go
@@ -4,7 +4,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -38,16 +37,7 @@
 
 // Kind is the experiment's entry in the table of experiments.
 func Kind() experiment.Kind {
-	return experiment.Kind{
-		Name: "routes", Usage: "choice of targets: wait for a place, by policy",
-		Run: func(raw json.RawMessage) (*experiment.Report, error) {
-			var s Settings
-			if err := experiment.Decode(raw, &s); err != nil {
-				return nil, err
-			}
-			return run(s), nil
-		},
-	}
+	return experiment.New("routes", "choice of targets: wait for a place, by policy", run)
 }
 
 func run(s Settings) *experiment.Report {
--- a/targetd/group/leader.go
+++ b/targetd/group/leader.go
@@ -53,8 +53,9 @@
 	table  *lease.Table
 	maps   *mapReader
 
+	conns *link.Cache
+
 	mu     sync.Mutex // guards what follows
-	conns  map[string]*link.Conn
 	leads  bool
 	newest Map
 }
@@ -68,13 +69,13 @@
 		config: c,
 		table:  lease.NewTable(c.Timeout),
 		maps:   &mapReader{group: c.Group, newest: expertmap.NoMap},
-		conns:  map[string]*link.Conn{},
+		conns:  &link.Cache{Dial: c.Dial},
 	}
 }
 
 // Run takes the lease when it is free, and leads, until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
-	defer l.closeAll()
+	defer l.conns.Close()
 	for ctx.Err() == nil {
 		if err := l.read(ctx); err != nil {
 			// Without the log nobody leads anew; a switch under way goes on.
@@ -239,57 +240,17 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var status expertmap.Status
-	conn, err := l.conn(ctx, m.Link)
+	conn, err := l.conns.Get(ctx, m.Link)
 	if err != nil {
 		return status, err
 	}
 	err = conn.Call(ctx, methodRankOrder, rankOrder{Rank: m.Rank, Order: o}, &status)
 	if err != nil {
-		l.drop(m.Link, conn)
+		l.conns.Drop(m.Link, conn)
 	}
 	return status, err
 }
 
-func (l *Leader) conn(ctx context.Context, address string) (*link.Conn, error) {
-	l.mu.Lock()
-	conn := l.conns[address]
-	l.mu.Unlock()
-	if conn != nil {
-		return conn, nil
-	}
-	raw, err := l.config.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	conn = link.NewConn(raw, nil)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if other := l.conns[address]; other != nil {
-		conn.Close()
-		return other, nil
-	}
-	l.conns[address] = conn
-	return conn, nil
-}
-
-func (l *Leader) drop(address string, conn *link.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conns[address] == conn {
-		delete(l.conns, address)
-	}
-	conn.Close()
-}
-
-func (l *Leader) closeAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, conn := range l.conns {
-		conn.Close()
-	}
-	l.conns = map[string]*link.Conn{}
-}
-
 // mapReader finds the newest map of a group.
 type mapReader struct {
 	group  string
