Limits: a quiet entry serves what it does not publish

Cause: the replay now tells why a request was sent again: 429 in a demo without faults. An organisation far below its limit was refused at an entry where its demand was under 1 a second and so not published, while another entry published it; the quiet share was 0.1 of an equal one with a burst of 1.67. Ruled out: counting each entry's own unpublished demand (400 quiet entries could together give out several times the limit).

--- a/entryd/command/self.go
+++ b/entryd/command/self.go
@@ -17,10 +17,6 @@
 	"camphormill.dev/parts/preset"
 )
 
-// demandFloor is the demand from which an organisation counts as heavy, in
-// requests a second at one entry.
-const demandFloor = 1
-
 // Budgets that are divided among the entries.
 const (
 	gossipBytesPerSecond = 3072 // of one entry, both ways, for records
@@ -55,7 +51,7 @@
 
 	mu      sync.Mutex
 	leaving bool
-	demand  func(floor float64) map[string]float64
+	demand  func(entries int) map[string]float64
 }
 
 func newSelf(s Settings) *self {
@@ -68,13 +64,13 @@
 	m.leaving = true
 }
 
-func (m *self) setDemand(demand func(floor float64) map[string]float64) {
+func (m *self) setDemand(demand func(entries int) map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.demand = demand
 }
 
-func (m *self) record(offset int64) membership.Record {
+func (m *self) record(offset int64, entries int) membership.Record {
 	m.mu.Lock()
 	leaving, demand := m.leaving, m.demand
 	m.mu.Unlock()
@@ -91,7 +87,7 @@
 		Leaving:      leaving,
 	}
 	if demand != nil {
-		record.Demand = demand(demandFloor)
+		record.Demand = demand(entries)
 	}
 	return record
 }
--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -110,7 +110,7 @@
 			}
 			return recordRefresh(len(p.Live()))
 		},
-		Record: func() membership.Record { return me.record(holder.Offset()) },
+		Record: func() membership.Record { return me.record(holder.Offset(), len(p.Live())) },
 		Holder: holder,
 		OnStrike: func(strike quarantine.Strike) {
 			kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).MergeStrike(strike)
--- a/entryd/door/door.go
+++ b/entryd/door/door.go
@@ -101,11 +101,19 @@
 	return router
 }
 
+// maxPublished bounds the organisations whose demand one entry publishes.
+const maxPublished = 20
+
 // Demand returns the demand of heavy organisations, for the peers.
-func (d *Door) Demand(floor float64) map[string]float64 {
+func (d *Door) Demand(entries int) map[string]float64 {
+	state, _ := d.config.State()
+	inForce := state.InForce()
+	floor := func(organisation string) float64 {
+		return limit.PublishFloor(inForce.Organisation(organisation).RequestsPerSecond, entries)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limiter.Demand(d.config.Now(), floor)
+	return d.limiter.Demand(d.config.Now(), floor, maxPublished)
 }
 
 // addresses answers which entry hosts to use, and until when.
--- a/millload/caller/caller.go
+++ b/millload/caller/caller.go
@@ -58,6 +58,7 @@
 	Outcome    contract.Outcome
 	Problem    string // why the answer is not right; empty when it is
 	Sends      int
+	FirstFault string        // why it was sent a second time
 	FirstToken time.Duration // of a streamed draft
 	Took       time.Duration
 }
@@ -137,6 +138,7 @@
 	result.Event = e
 	result.Took = time.Since(began)
 	result.Sends = s.sends
+	result.FirstFault = s.firstFault
 	return result
 }
 
--- a/millload/caller/session.go
+++ b/millload/caller/session.go
@@ -21,6 +21,14 @@
 	began       time.Time
 	sends       int
 	reservation string
+	firstFault  string // what went wrong first
+}
+
+// fault notes what went wrong, when it is the first thing.
+func (s *session) fault(problem string) {
+	if s.firstFault == "" {
+		s.firstFault = problem
+	}
 }
 
 func (s *session) run(ctx context.Context) Result {
@@ -36,6 +44,7 @@
 		r, err := s.send(ctx)
 		if err != nil {
 			last = Result{Outcome: contract.OutcomeUnknown, Problem: "connection lost: " + err.Error()}
+			s.fault(last.Problem)
 			s.sleep(ctx, pause)
 			pause *= 2
 			continue
@@ -44,6 +53,7 @@
 		if last.Problem == "" || !s.again(r) {
 			return last
 		}
+		s.fault(last.Problem)
 		s.sleep(ctx, r.pause(pause))
 	}
 	return last
@@ -93,6 +103,7 @@
 		return true
 	}
 	s.sends++
+	s.fault(fmt.Sprintf("no reservation: status %d: %v: %s", r.status, err, r.body))
 	s.sleep(ctx, r.pause(*pause))
 	*pause *= 2
 	return false
--- a/millload/limits/limits.go
+++ b/millload/limits/limits.go
@@ -70,7 +70,7 @@
 		if at >= nextRound {
 			nextRound += time.Duration(s.RoundS * float64(time.Second))
 			for i, l := range limiters {
-				published[i] = l.Demand(now, 0)["o"]
+				published[i] = l.Demand(now, func(string) float64 { return limit.PublishFloor(s.PerSecond, entries) }, 1)["o"]
 			}
 		}
 		for n := perTick; n > rng.Float64(); n-- {
--- a/millload/replay/replay.go
+++ b/millload/replay/replay.go
@@ -80,6 +80,8 @@
 				report.note(r, problem)
 			} else if r.Outcome != contract.OutcomeDone {
 				report.note(r, "ended "+string(r.Outcome)+" after "+strconv.Itoa(r.Sends)+" sends: "+r.Problem)
+			} else if r.Sends > 1 {
+				report.note(r, "done after "+strconv.Itoa(r.Sends)+" sends, since first: "+r.FirstFault)
 			}
 		}
 		row.P50MS, row.P95MS, row.P99MS = quantile(took, 50), quantile(took, 95), quantile(took, 99)
--- a/parts/limit/limit_test.go
+++ b/parts/limit/limit_test.go
@@ -32,8 +32,27 @@
 	for range 100 {
 		l.Admit(start, "muscat", limit.Rate{PerSecond: 10, Burst: 10})
 	}
-	is.True(l.Demand(start, 1)["muscat"] > 1)
-	is.Equal(len(l.Demand(start.Add(time.Minute), 1)), 0)
+	one := func(string) float64 { return 1 }
+	is.True(l.Demand(start, one, 9)["muscat"] > 1)
+	is.Equal(len(l.Demand(start, one, 0)), 0) // no more than may be published
+	is.Equal(len(l.Demand(start.Add(time.Minute), one, 9)), 0)
+}
+
+// TestQuietEntryServesWhatItDoesNotPublish is what the demo showed: an
+// organisation far below its limit was refused at an entry where it was too quiet
+// to be published, while another entry published it.
+func TestQuietEntryServesWhatItDoesNotPublish(t *testing.T) {
+	is := is.New(t)
+	for _, entries := range []int{3, 20} {
+		rate := limit.Rate{PerSecond: 50, Burst: 50}
+		l := limit.NewLimiter(func(string) float64 { return limit.DividedShare(0, 10, entries) })
+		gap := time.Duration(float64(time.Second) / limit.PublishFloor(rate.PerSecond, entries))
+		for n := range 200 {
+			at := start.Add(time.Duration(n/2) * 2 * gap) // two at once, then none for a while
+			ok, _ := l.Admit(at, "sohar", rate)
+			is.True(ok)
+		}
+	}
 }
 
 func ExampleLimiter() {
--- a/parts/limit/limiter.go
+++ b/parts/limit/limiter.go
@@ -2,7 +2,9 @@
 package limit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,6 +28,10 @@
 // demandMemory is how long the demand estimate looks back.
 const demandMemory = 2 * time.Second
 
+// leastBurst is the burst that an entry lets pass however small its share: few
+// requests come evenly.
+const leastBurst = 4
+
 // NewLimiter returns a limiter whose rates are scaled by share.
 func NewLimiter(share Share) *Limiter {
 	return &Limiter{share: share, buckets: map[string]*bucket{}}
@@ -42,7 +48,7 @@
 func (l *Limiter) Admit(now time.Time, organisation string, r Rate) (bool, time.Time) {
 	share := l.share(organisation)
 	rate := r.PerSecond * share
-	burst := math.Max(r.Burst*share, 1)
+	burst := max(r.Burst*share, min(r.Burst, leastBurst), 1)
 	b, ok := l.buckets[organisation]
 	if !ok {
 		b = &bucket{tokens: burst, updated: now, asked: now}
@@ -85,19 +91,29 @@
 	b.asked = now
 }
 
-// Demand returns the demand of the organisations that ask for at least floor
-// requests a second, and forgets organisations that have gone quiet.
-func (l *Limiter) Demand(now time.Time, floor float64) map[string]float64 {
+// Demand returns the demand of the organisations that ask for at least their
+// floor, in requests a second, and forgets organisations that have gone quiet. Of
+// more than most it keeps those furthest above their floors.
+func (l *Limiter) Demand(now time.Time, floor func(organisation string) float64, most int) map[string]float64 {
 	heavy := map[string]float64{}
+	var names []string
 	const quiet = 0.001
 	for name, b := range l.buckets {
 		b.decay(now)
-		if b.demand >= floor {
+		if b.demand >= floor(name) {
 			heavy[name] = b.demand
+			names = append(names, name)
 		}
 		if b.demand < quiet {
 			delete(l.buckets, name)
 		}
 	}
+	if len(names) <= most {
+		return heavy
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(heavy[b]/floor(b), heavy[a]/floor(a)) })
+	for _, name := range names[most:] {
+		delete(heavy, name)
+	}
 	return heavy
 }
