A starting entry is not in address answers

Before: a starting entry was listed as soon as it gossiped. After: listed once it has configuration and host list (TestStartingEntryIsNot- InAddressAnswers); /readyz says the same.

--- a/entryd/command/self.go
+++ b/entryd/command/self.go
@@ -51,11 +51,33 @@
 
 	mu      sync.Mutex
 	leaving bool
+	waits   map[string]bool // what must come before it takes work
 	demand  func(entries int) map[string]float64
 }
 
 func newSelf(s Settings) *self {
-	return &self{name: s.Name, settings: s, started: time.Now().UnixNano(), incarnation: identity.New()}
+	return &self{
+		name: s.Name, settings: s, started: time.Now().UnixNano(), incarnation: identity.New(),
+		waits: map[string]bool{waitConfiguration: true, waitHosts: true},
+	}
+}
+
+// What an entry needs before it takes work.
+const (
+	waitConfiguration = "no configuration yet"
+	waitHosts         = "no host list yet"
+)
+
+// arrived notes that something the entry waited for is there, and says whether
+// that was the last.
+func (m *self) arrived(what string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.waits[what] {
+		return false
+	}
+	delete(m.waits, what)
+	return len(m.waits) == 0
 }
 
 func (m *self) leave() {
@@ -72,7 +94,7 @@
 
 func (m *self) record(offset int64, entries int) membership.Record {
 	m.mu.Lock()
-	leaving, demand := m.leaving, m.demand
+	leaving, starting, demand := m.leaving, len(m.waits) > 0, m.demand
 	m.mu.Unlock()
 	record := membership.Record{
 		Origin:       m.name,
@@ -85,6 +107,7 @@
 		Incarnation:  m.incarnation,
 		ConfigOffset: offset,
 		Leaving:      leaving,
+		Starting:     starting,
 	}
 	if demand != nil {
 		record.Demand = demand(entries)
@@ -98,7 +121,7 @@
 	for _, r := range live {
 		address := door.Address{URL: r.Public, Zone: r.Zone}
 		switch {
-		case r.Leaving:
+		case r.Leaving || r.Starting:
 		case r.Zone == zone:
 			near = append(near, address)
 		default:
--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -59,7 +59,7 @@
 		}})
 	}
 	register(serviceMetrics, nil, func(*kernel.Kernel) any { return metrics.NewSet() })
-	register(serviceReadiness, nil, func(*kernel.Kernel) any { return daemon.NewReadiness("no configuration yet") })
+	register(serviceReadiness, nil, func(*kernel.Kernel) any { return daemon.NewReadiness("starting") })
 	register(serviceHolder, nil, func(*kernel.Kernel) any { return preset.NewHolder() })
 	register(serviceSelf, nil, func(*kernel.Kernel) any { return newSelf(s) })
 	register(servicePeers, []string{serviceHolder, serviceSelf}, func(k *kernel.Kernel) any { return newPeers(s, k, log) })
@@ -78,7 +78,7 @@
 	k.Register(kernel.Loop(serviceClaimLoop, []string{serviceClaims}, func(ctx context.Context, k *kernel.Kernel) {
 		kernel.Get[*claims.Claimer](k, serviceClaims).Run(ctx)
 	}))
-	k.Register(kernel.Loop(serviceHosts, []string{servicePool, servicePeers}, func(ctx context.Context, k *kernel.Kernel) {
+	k.Register(kernel.Loop(serviceHosts, []string{servicePool, servicePeers, serviceReadiness}, func(ctx context.Context, k *kernel.Kernel) {
 		followHosts(ctx, s, k, daemon.Part(log, serviceHosts))
 	}))
 	k.Register(daemon.HTTPService(serviceCallers, s.Callers, []string{serviceDoor, serviceFollower, serviceGossip, serviceHosts, serviceClaimLoop}, func(k *kernel.Kernel) http.Handler {
@@ -196,7 +196,7 @@
 	return configuration.NewFollower(configuration.Config{
 		Log:         platform.NewHTTPLog(s.PlatformLog),
 		Holder:      holder,
-		Loaded:      kernel.Get[*daemon.Readiness](k, serviceReadiness).Ready,
+		Loaded:      func() { arrived(k, waitConfiguration) },
 		Now:         time.Now,
 		SnapshotAge: time.Duration(s.SnapshotAge),
 		Int64N:      rand.Int64N,
@@ -221,6 +221,7 @@
 		if err == nil {
 			links.SetHosts(hosts)
 			addSeeds(p, hosts)
+			arrived(k, waitHosts)
 		}
 		select {
 		case <-ctx.Done():
@@ -230,6 +231,14 @@
 	}
 }
 
+// arrived makes the entry ready once nothing is missing, and tells its peers, so
+// that it comes into address answers.
+func arrived(k *kernel.Kernel, what string) {
+	if kernel.Get[*self](k, serviceSelf).arrived(what) {
+		kernel.Get[*daemon.Readiness](k, serviceReadiness).Ready()
+	}
+}
+
 func addSeeds(p *peers.Peers, hosts []platform.Host) {
 	for _, h := range hosts {
 		if h.Role == platform.HostEntry && !h.Leaving {
--- a/entryd/command/settings_test.go
+++ b/entryd/command/settings_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"camphormill.dev/parts/membership"
 	"camphormill.dev/parts/settings"
 )
 
@@ -43,3 +44,15 @@
 	appends := entries / claimInterval(entries).Seconds()
 	is.True(appends <= claimAppends+1)
 }
+
+func TestStartingEntryIsNotInAddressAnswers(t *testing.T) {
+	is := is.New(t)
+	me := newSelf(Defaults())
+	is.Equal(len(addresses([]membership.Record{me.record(0, 1)}, "a")), 0)
+	is.Equal(me.arrived(waitHosts), false)
+	is.Equal(me.arrived(waitHosts), false)
+	is.True(me.arrived(waitConfiguration)) // the last thing it waited for
+	is.Equal(len(addresses([]membership.Record{me.record(0, 1)}, "a")), 1)
+	me.leave()
+	is.Equal(len(addresses([]membership.Record{me.record(0, 1)}, "a")), 0)
+}
--- a/parts/membership/membership.go
+++ b/parts/membership/membership.go
@@ -33,6 +33,8 @@
 	Incarnation  string `json:"incarnation"`
 	ConfigOffset int64  `json:"config_offset"`
 	Leaving      bool   `json:"leaving,omitempty"`
+	// Starting says that the daemon cannot take work yet.
+	Starting bool `json:"starting,omitempty"`
 	// Demand is requests a second of heavy organisations at this entry.
 	Demand map[string]float64 `json:"demand,omitempty"`
 }
@@ -41,7 +43,7 @@
 // configuration version and demand that differs by less than a quarter. Such a
 // record is no news.
 func (r Record) Resembles(old Record) bool {
-	if r.Started != old.Started || r.Leaving != old.Leaving || r.Address != old.Address || len(r.Demand) != len(old.Demand) {
+	if r.Started != old.Started || r.Leaving != old.Leaving || r.Starting != old.Starting || r.Address != old.Address || len(r.Demand) != len(old.Demand) {
 		return false
 	}
 	const noise = 0.25
