Kernel: services may look for others while the rest still starts

Cause: a start of the demo, and one of the slopes, failed now and then with a daemon that did not answer. The loops of a daemon find services by name while the kernel still starts others: a read and a write of one map at once, which Go ends with a fatal error. Conclusion: Get and Find take a lock.

--- a/parts/kernel/kernel.go
+++ b/parts/kernel/kernel.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -21,12 +22,29 @@
 	Stop func(ctx context.Context) error
 }
 
-// Kernel holds the services of one process. It is not safe for concurrent use.
+// Kernel holds the services of one process. Register, Start and Stop are for one
+// goroutine; Get and Find are safe for concurrent use, since services that run
+// already may look for others while the kernel still starts the rest.
 type Kernel struct {
 	services map[string]Service
 	order    []string
-	values   map[string]any
 	started  []Service
+
+	mu     sync.RWMutex
+	values map[string]any
+}
+
+func (k *Kernel) value(name string) (any, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	value, ok := k.values[name]
+	return value, ok
+}
+
+func (k *Kernel) setValue(name string, value any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.values[name] = value
 }
 
 // New returns an empty kernel.
@@ -63,7 +81,7 @@
 }
 
 func (k *Kernel) start(ctx context.Context, name, neededBy string, visiting map[string]bool) error {
-	if _, done := k.values[name]; done {
+	if _, done := k.value(name); done {
 		return nil
 	}
 	s, ok := k.services[name]
@@ -86,7 +104,7 @@
 			return errors.Wrapf(err, "service %s did not start", name)
 		}
 	}
-	k.values[name] = value
+	k.setValue(name, value)
 	k.started = append(k.started, s)
 	return nil
 }
@@ -111,15 +129,17 @@
 // involved when the service is missing or of another type, which is a mistake
 // of the program, never of its input.
 func Get[T any](k *Kernel, name string) T {
-	value, ok := k.values[name].(T)
+	found, _ := k.value(name)
+	value, ok := found.(T)
 	if !ok {
-		panic(fmt.Sprintf("kernel: service %s is %T here; add it to Needs", name, k.values[name]))
+		panic(fmt.Sprintf("kernel: service %s is %T here; add it to Needs", name, found))
 	}
 	return value
 }
 
 // Find is Get for a service that may have no value.
 func Find[T any](k *Kernel, name string) (T, bool) {
-	value, ok := k.values[name].(T)
+	found, _ := k.value(name)
+	value, ok := found.(T)
 	return value, ok
 }
--- a/parts/kernel/kernel_test.go
+++ b/parts/kernel/kernel_test.go
@@ -56,3 +56,24 @@
 		})
 	}
 }
+
+// TestLoopsMayLookWhileOthersStart has services that run already find others
+// while the kernel still starts the rest, as the loops of the daemons do.
+func TestLoopsMayLookWhileOthersStart(t *testing.T) {
+	is := is.New(t)
+	k := kernel.New()
+	const services = 2000
+	for i := range services {
+		name := fmt.Sprint("value ", i)
+		k.Register(kernel.Service{Name: name, Start: func(context.Context, *kernel.Kernel) (any, error) { return i, nil }})
+		if i < 4 {
+			k.Register(kernel.Loop(fmt.Sprint("loop ", i), []string{name}, func(ctx context.Context, k *kernel.Kernel) {
+				for ctx.Err() == nil {
+					kernel.Get[int](k, name)
+				}
+			}))
+		}
+	}
+	is.NoErr(k.Start(context.Background()))
+	is.NoErr(k.Stop(context.Background()))
+}
