--- a/proofs/configuration_test.go
+++ b/proofs/configuration_test.go
@@ -224,7 +224,7 @@
 	time.Sleep(40 * time.Second) // more than twice the retention
 	close(stop)
 	wg.Wait()
-	w.log.faulty = false
+	w.log.setFaulty(false)
 	time.Sleep(2 * inForceWithin)
 	w.checkEnd()
 	for _, f := range w.followers {
--- a/proofs/keys_test.go
+++ b/proofs/keys_test.go
@@ -53,6 +53,25 @@
 	return l.down
 }
 
+func (l *fakeLog) setFaulty(faulty bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faulty = faulty
+}
+
+func (l *fakeLog) isFaulty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faulty
+}
+
+// end is the offset that the next record of a stream gets.
+func (l *fakeLog) end(stream string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(len(l.records[stream]))
+}
+
 func (l *fakeLog) land(stream string, data []byte) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,7 +86,7 @@
 	time.Sleep(l.random.upTo(20 * time.Millisecond))
 	lost := &platform.AppendError{Ambiguous: true, Cause: errors.New("answer lost")}
 	fate := 9
-	if l.faulty {
+	if l.isFaulty() {
 		fate = l.random.intn(10)
 	}
 	switch {
--- a/proofs/maps_test.go
+++ b/proofs/maps_test.go
@@ -150,6 +150,12 @@
 	return slowest
 }
 
+func (e *stepEngines) mapOf(t expertmap.Step) expertmap.MapID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.used[t]
+}
+
 func (e *stepEngines) progress() expertmap.Step {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -282,12 +288,12 @@
 	close(stop)
 	faults.Wait()
 	w.publishMap()
-	newest := expertmap.MapID(len(w.log.records[platform.StreamMaps]) - 1)
+	newest := expertmap.MapID(w.log.end(platform.StreamMaps) - 1)
 	time.Sleep(6 * time.Second)
 	before := w.engines.progress()
 	time.Sleep(time.Second)
 	after := w.engines.progress()
-	live := after > before && w.engines.used[after] == newest
+	live := after > before && w.engines.mapOf(after) == newest
 	for _, h := range w.hosts {
 		h.kill()
 	}
