Docs' commands wait until the fleet knows itself

Ruled out: a longer pause (the same on a slower machine). Before: CALLERS.md and OPERATORS.md differed in form.

--- a/scripts/docs.sh
+++ b/scripts/docs.sh
@@ -14,7 +14,13 @@
 bin/camphormill preset publish examples/majlis/ordinary.jsonc >/dev/null
 bin/camphormill preset activate ordinary >/dev/null
 bin/camphormill preset watch >/dev/null
-sleep 3 # every entry has read the host list and linked to the targets
+# Every entry must know the others and be linked to the targets.
+for _ in $(seq 100); do
+	listed=$(curl -s "$ENTRY/v1/addresses" | grep -o '"url"' | wc -l || true)
+	linked=$(bin/camphormill status | awk '$5 == 6' | wc -l || true)
+	if [ "$listed" = 3 ] && [ "$linked" = 3 ]; then break; fi
+	sleep 0.2
+done
 
 paste() { # FILE -> its text with fresh output
 	local line command skipping=0
