Drafts: a refused retry does not make a begun draft 'not run'

Cause: found on reading the whole change once more: the answer of the last attempt overwrote that of an earlier one. A draft whose target died was sent on, the other target refused as leaving, and the caller was told 'not run' of what had begun. Conclusion: once an attempt may have run, the outcome stays 'unknown' unless done.

--- a/entryd/dispatch/draft.go
+++ b/entryd/dispatch/draft.go
@@ -19,6 +19,7 @@
 	emit        func(token string)
 	tried       map[string]bool
 	bounces     int // from busy targets
+	mayHaveRun  bool
 }
 
 // Draft runs a request that may be repeated. Tokens go to emit in order, each
@@ -33,6 +34,7 @@
 	result := Result{}
 	for {
 		again := s.attempt(ctx, &result)
+		s.noteOutcome(&result)
 		if !again || result.Attempts-s.bounces >= maxAttempts || ctx.Err() != nil {
 			return result
 		}
@@ -46,6 +48,17 @@
 	}
 }
 
+// noteOutcome keeps the refusal of a later attempt from saying "not run" of a
+// draft that an earlier attempt may have run.
+func (s *draft) noteOutcome(result *Result) {
+	if result.Outcome == contract.OutcomeUnknown {
+		s.mayHaveRun = true
+	}
+	if s.mayHaveRun && result.Outcome == contract.OutcomeNotRun {
+		result.Outcome = contract.OutcomeUnknown
+	}
+}
+
 // free says whether a retry costs nothing of the budget: a leaving target said
 // so at once and did no work.
 func free(f *contract.Failure) bool {
@@ -53,7 +66,7 @@
 }
 
 func isBusy(a contract.Answer) bool {
-	return a.Outcome == contract.OutcomeNotRun && a.Failure.Kind == contract.KindBusy
+	return a.Failure != nil && a.Failure.Kind == contract.KindBusy
 }
 
 // attempt makes one try and says whether another may follow.
--- a/proofs/drafts_test.go
+++ b/proofs/drafts_test.go
@@ -45,6 +45,13 @@
 	})
 }
 
+// began says whether an engine began the draft.
+func (c *drafter) began() bool {
+	c.fleet.world.mu.Lock()
+	defer c.fleet.world.mu.Unlock()
+	return c.fleet.world.drafted[c.organisation+" "+c.body]
+}
+
 // check says what is wrong with what the caller received, or nothing. Whatever
 // it received must be the beginning of its own answer, in one version.
 func (c *drafter) check() string {
@@ -58,6 +65,9 @@
 			return fmt.Sprintf("token %d is %q instead of %q", i, got, want)
 		}
 	}
+	if c.answered && c.result.Outcome == contract.OutcomeNotRun && c.began() {
+		return "said not run, and an engine began it"
+	}
 	if c.answered && c.result.Outcome == contract.OutcomeDone && len(c.tokens) != draftLength {
 		return fmt.Sprintf("done with %d tokens of %d", len(c.tokens), draftLength)
 	}
@@ -165,3 +175,24 @@
 	is.New(t).True(counts.of("mixed") > 0)
 	t.Logf("starting over gave a wrong answer: %v of 40", counts)
 }
+
+// TestRefusedRetryIsNotNotRun kills the target that runs a draft while the only
+// other one refuses new work: the draft began, so it must not end "not run".
+func TestRefusedRetryIsNotNotRun(t *testing.T) {
+	forSeeds(t, 20, func(t *testing.T, seed uint64) {
+		f := newFleet(fleetConfig{seed: seed, entries: 1, targets: 2, kind: contract.WorkDraft, capacity: 4})
+		f.world.slow = 400 * time.Millisecond
+		f.targets[1].process.gate.Leave() // the entry has not heard of it
+		c := &drafter{fleet: f, organisation: "muscat", body: "brief"}
+		var wg sync.WaitGroup
+		wg.Go(c.run)
+		time.Sleep(150 * time.Millisecond)
+		f.targets[0].kill()
+		wg.Wait()
+		f.stop()
+		synctest.Wait()
+		is := is.New(t)
+		is.Equal(c.check(), "")
+		is.True(c.result.Outcome != contract.OutcomeNotRun || !c.began())
+	})
+}
--- a/proofs/world_test.go
+++ b/proofs/world_test.go
@@ -28,10 +28,11 @@
 	effects map[string]int // by body
 	starts  map[string][]time.Time
 	crashes int
+	drafted map[string]bool // drafts that an engine began, by organisation and body
 }
 
 func newWorld(r *random) *world {
-	return &world{random: r, slow: 40 * time.Millisecond, effects: map[string]int{}, starts: map[string][]time.Time{}}
+	return &world{random: r, slow: 40 * time.Millisecond, effects: map[string]int{}, starts: map[string][]time.Time{}, drafted: map[string]bool{}}
 }
 
 func (w *world) work(ctx context.Context, p *targetProcess, t *target, call contract.Call, emit func(string)) contract.Answer {
@@ -91,6 +92,9 @@
 
 // draft emits the tokens of the request's own answer, from where it resumes.
 func (w *world) draft(ctx context.Context, t *target, call contract.Call, emit func(string)) contract.Answer {
+	w.mu.Lock()
+	w.drafted[call.Organisation+" "+string(call.Body)] = true
+	w.mu.Unlock()
 	for i := call.ResumeFrom; i < draftLength; i++ {
 		timer := time.NewTimer(w.random.upTo(w.slow / 4))
 		select {
