--- /dev/null
+++ b/entryd/bulletin/bulletin.go
@@ -0,0 +1,379 @@
+// Package bulletin keeps an entry's view of the platform's store: the routes in
+// force, the registered targets, and the proof of how current they are. Any entry
+// whose view grows old reads the store and tells the others, so that mostly one
+// read serves the whole fleet, and an entry that hears nothing reads for itself.
+package bulletin
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/freshness"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/registry"
+	"camphormill.dev/parts/routes"
+)
+
+const (
+	// readAge is how old a view may grow before it is read anew: a leaving
+	// target must be known within 2 s, by way of another entry.
+	readAge = 550 * time.Millisecond
+	// readSpread keeps entries from reading at the same moment.
+	readSpread = 250 * time.Millisecond
+	// readTimeout bounds one read of the store, which takes some milliseconds.
+	readTimeout = 700 * time.Millisecond
+	// retryAfter is the pause after a failed read.
+	retryAfter = 200 * time.Millisecond
+	// returnGrace is how long targets whose entries lapsed while the store was
+	// away may take to come back.
+	returnGrace = 2 * time.Second
+	// outageMemory is for how long after a failed read a removal counts as one
+	// that the store's absence may have caused.
+	outageMemory = 4 * time.Second
+	// tick is how often it is looked whether a read is due.
+	tick = 50 * time.Millisecond
+	// maxTold is how many bytes of records one datagram carries.
+	maxTold = 8 << 10
+)
+
+// Records is a stretch of the registry's stream.
+type Records struct {
+	Raw [][]byte
+	End int64
+	// Lost says that the stretch is no longer kept; a full listing is needed.
+	Lost bool
+}
+
+// Store is how the store is read.
+type Store struct {
+	// Configuration returns the newest routes when they changed after the
+	// offset, or nil, and the end of the stream.
+	Configuration func(ctx context.Context, from int64) (*routes.Table, int64, error)
+	Targets       func(ctx context.Context, from int64) (Records, error)
+	List          func(ctx context.Context) ([]registry.Target, int64, error)
+	// Decode reads one record. A nil target was removed; ok is false for a
+	// record that cannot be read.
+	Decode func(raw []byte) (id string, t *registry.Target, ok bool)
+}
+
+// Config is what a Board is built from.
+type Config struct {
+	Store Store
+	Mesh  *mesh.Mesh
+	Clock func() freshness.Instant
+	Now   func() time.Time
+	Log   zerolog.Logger
+	// Changed is told of each new view of the targets.
+	Changed func(r registry.Registry)
+}
+
+// Board is safe for concurrent use.
+type Board struct {
+	config Config
+	reads  sync.Mutex // one read at a time
+
+	mu        sync.Mutex
+	table     *routes.Table
+	tableAt   int64 // end of the configuration stream that the table is from
+	proof     freshness.Proof
+	targets   registry.Registry
+	listed    bool
+	targetsAt int64
+	readDue   time.Time
+	failed    time.Time // last failed read
+	reachable bool
+	behind    bool // a peer knows newer configuration
+}
+
+// New returns an empty board.
+func New(c Config) *Board {
+	return &Board{config: c, reachable: true, readDue: c.Now()}
+}
+
+// Table returns the routes in force, or nil before any are known.
+func (b *Board) Table() *routes.Table {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table
+}
+
+// Targets returns the registered targets.
+func (b *Board) Targets() registry.Registry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.targets
+}
+
+// Known says whether both routes and targets are known.
+func (b *Board) Known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table != nil && b.listed
+}
+
+// Age is how old the proof of the routes is; false when there is none.
+func (b *Board) Age() (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.proof.Age(b.config.Clock(), b.tableAt)
+}
+
+// Current says whether the routes were in force within the bound. An old proof
+// is renewed by a read while the caller waits.
+func (b *Board) Current(ctx context.Context, bound time.Duration) bool {
+	if b.holds(bound) {
+		return true
+	}
+	b.read(ctx)
+	return b.holds(bound)
+}
+
+func (b *Board) holds(bound time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.proof.Holds(b.config.Clock(), b.tableAt, bound)
+}
+
+// Run keeps the board current until the context ends.
+func (b *Board) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		if b.due() {
+			b.read(ctx)
+		}
+		b.expire()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *Board) due() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.config.Now().Before(b.readDue)
+}
+
+// postpone sets the next read; jitter lets mostly one entry be first.
+func (b *Board) postpone(after time.Duration) {
+	b.readDue = b.config.Now().Add(after + time.Duration(rand.Int64N(int64(readSpread))))
+}
+
+// expire drops the targets that have not come back.
+func (b *Board) expire() {
+	b.mu.Lock()
+	before := b.targets
+	b.targets = b.targets.At(b.config.Now())
+	after := b.targets
+	b.mu.Unlock()
+	if before.Len() != after.Len() {
+		b.config.Log.Info().Int("targets", after.Len()).Msg("targets that did not come back after an outage are gone")
+		b.config.Changed(after)
+	}
+}
+
+// read reads the store once and tells the peers.
+func (b *Board) read(ctx context.Context) {
+	if !b.reads.TryLock() {
+		b.reads.Lock() // another read is on its way and serves this one
+		b.reads.Unlock()
+		return
+	}
+	defer b.reads.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	b.mu.Lock()
+	tableAt, targetsAt, listed := b.tableAt, b.targetsAt, b.listed
+	b.postpone(readAge)
+	b.mu.Unlock()
+	asOf := b.config.Clock()
+	beats := b.beats()
+	table, end, err := b.config.Store.Configuration(ctx, tableAt)
+	if err == nil {
+		b.takeTable(table, end, asOf)
+	}
+	if err != nil {
+		b.noteFailure(err)
+		return
+	}
+	records, err := b.readTargets(ctx, targetsAt, listed)
+	if err != nil {
+		b.noteFailure(err)
+		records = Records{End: targetsAt}
+	} else {
+		b.noteReachable()
+	}
+	b.tell(end, targetsAt, records, beats)
+}
+
+func (b *Board) readTargets(ctx context.Context, from int64, listed bool) (Records, error) {
+	if listed {
+		records, err := b.config.Store.Targets(ctx, from)
+		if err != nil {
+			return Records{}, err
+		}
+		if !records.Lost {
+			b.takeRecords(from, records)
+			return records, nil
+		}
+	}
+	targets, end, err := b.config.Store.List(ctx)
+	if err != nil {
+		return Records{}, err
+	}
+	b.mu.Lock()
+	b.targets = b.targets.Only(targets, b.grace())
+	b.targetsAt = end
+	b.listed = true
+	after := b.targets
+	b.mu.Unlock()
+	b.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Msg("targets listed")
+	b.config.Changed(after)
+	return Records{End: end, Lost: true}, nil
+}
+
+// grace is until when a removed target may come back: its entry may have lapsed
+// because the store was away.
+func (b *Board) grace() time.Time {
+	now := b.config.Now()
+	if b.failed.IsZero() || now.Sub(b.failed) > outageMemory {
+		return time.Time{}
+	}
+	return now.Add(returnGrace)
+}
+
+func (b *Board) beats() map[string]freshness.Instant {
+	beats := map[string]freshness.Instant{}
+	for _, h := range b.config.Mesh.Alive(mesh.Entry) {
+		if beat, ok := b.config.Mesh.LastBeat(h.Name); ok {
+			beats[h.Name] = beat.Sent
+		}
+	}
+	return beats
+}
+
+// tell passes on what was read. A peer may count it from its own beat that had
+// arrived before the read.
+func (b *Board) tell(configuration, from int64, records Records, beats map[string]freshness.Instant) {
+	told := mesh.Bulletin{Configuration: configuration, From: from, End: records.End, Targets: records.Raw}
+	size := 0
+	for _, raw := range records.Raw {
+		size += len(raw)
+	}
+	if size > maxTold || records.Lost {
+		told.From, told.Targets = records.End, nil // who lags behind reads for itself
+	}
+	for name, after := range beats {
+		one := told
+		one.After = after
+		b.config.Mesh.Send(name, mesh.Message{Bulletin: &one})
+	}
+}
+
+// Hear takes what a peer read.
+func (b *Board) Hear(from string, m mesh.Bulletin) {
+	b.mu.Lock()
+	tableAt := b.tableAt
+	if m.Configuration > tableAt {
+		b.readDue = b.config.Now().Add(time.Duration(rand.Int64N(int64(tick))))
+		if !b.behind {
+			b.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("a peer knows newer routes; they are read")
+		}
+		b.behind = true
+	}
+	if m.After > 0 {
+		b.proof = b.proof.With(m.Configuration, m.After)
+	}
+	if !b.listed || m.From > b.targetsAt {
+		b.mu.Unlock()
+		return
+	}
+	if m.Configuration <= tableAt && m.After > 0 {
+		b.postpone(readAge)
+	}
+	b.mu.Unlock()
+	b.takeRecords(m.From, Records{Raw: m.Targets, End: m.End})
+}
+
+func (b *Board) takeTable(table *routes.Table, end int64, asOf freshness.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if table != nil && (b.table == nil || table.Version() >= b.table.Version()) && end >= b.tableAt {
+		if b.table == nil || table.Version() > b.table.Version() {
+			b.config.Log.Info().Int64("version", table.Version()).Int64("offset", end).Msg("routes in force")
+		}
+		b.table = table
+	}
+	if end > b.tableAt {
+		b.tableAt = end
+	}
+	b.behind = false
+	b.proof = b.proof.With(end, asOf)
+}
+
+// takeRecords folds records from the offset into the registry.
+func (b *Board) takeRecords(from int64, r Records) {
+	b.mu.Lock()
+	if r.End <= b.targetsAt || from > b.targetsAt {
+		b.mu.Unlock()
+		return
+	}
+	fresh := r.Raw[min(int(b.targetsAt-from), len(r.Raw)):]
+	b.targetsAt = from + int64(len(r.Raw))
+	next := b.targets
+	for _, raw := range fresh {
+		next = b.fold(next, raw)
+	}
+	b.targets = next
+	b.mu.Unlock()
+	if len(fresh) > 0 {
+		b.config.Changed(next)
+	}
+}
+
+func (b *Board) fold(r registry.Registry, raw []byte) registry.Registry {
+	id, t, ok := b.config.Store.Decode(raw)
+	if !ok {
+		b.config.Log.Warn().Str("target", id).Int("bytes", len(raw)).Msg("record of a target cannot be read; it names nothing to use")
+		return r
+	}
+	old, known := r.Target(id)
+	if t == nil {
+		if known {
+			b.config.Log.Info().Str("target", id).Str("service", old.Service).Time("grace", b.grace()).Msg("target removed")
+		}
+		return r.Without(id, b.grace())
+	}
+	if known && old == *t {
+		return r
+	}
+	b.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("state", string(t.State)).Msg("target changed")
+	return r.With(*t)
+}
+
+func (b *Board) noteFailure(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failed = b.config.Now()
+	b.postpone(retryAfter)
+	if b.reachable {
+		b.config.Log.Warn().Err(err).Msg("store lost; peers are heard, and it is tried again")
+	}
+	b.reachable = false
+}
+
+func (b *Board) noteReachable() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.reachable {
+		b.config.Log.Info().Msg("store regained")
+	}
+	b.reachable = true
+}
--- /dev/null
+++ b/entryd/relay/places.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mapswitch"
+	"camphormill.dev/parts/mesh"
+)
+
+const (
+	// leaderSilence is after which time without a word a leader is not asked.
+	leaderSilence = 900 * time.Millisecond
+	// askAgain is when an ask without a verdict is sent again: some round trips.
+	askAgain = 25 * time.Millisecond
+	// askTries bounds the asks of one request before the entry decides alone.
+	askTries = 3
+	// waitAgain is when a waiting request asks again, in case a verdict was lost.
+	waitAgain = 150 * time.Millisecond
+	// groupReturn is when a caller should come back to a closed group: it opens
+	// about that long after its last rank is back.
+	groupReturn = time.Second
+)
+
+// PlacesConfig is what Places is built from.
+type PlacesConfig struct {
+	Mesh *mesh.Mesh
+	Now  func() time.Time
+	Log  zerolog.Logger
+}
+
+// Places asks the leaders of groups for places. It is safe for concurrent use.
+type Places struct {
+	config PlacesConfig
+	serial atomic.Int64
+
+	mu      sync.Mutex
+	leaders map[string]groupLeader // by service
+	asks    map[string]chan mesh.Verdict
+}
+
+type groupLeader struct {
+	host  string
+	fence mapswitch.Fence
+	open  bool
+	heard time.Time
+}
+
+// NewPlaces returns a Places that knows no leader.
+func NewPlaces(c PlacesConfig) *Places {
+	return &Places{config: c, leaders: map[string]groupLeader{}, asks: map[string]chan mesh.Verdict{}}
+}
+
+// Handle takes a message of a leader.
+func (p *Places) Handle(from mesh.Host, m mesh.Message) {
+	switch {
+	case m.Lead != nil:
+		p.follow(from, *m.Lead)
+	case m.Verdict != nil:
+		p.mu.Lock()
+		answer, ok := p.asks[m.Verdict.ID]
+		p.mu.Unlock()
+		if ok {
+			select {
+			case answer <- *m.Verdict:
+			default: // a verdict waits already; asking again brings this one back
+			}
+		}
+	}
+}
+
+func (p *Places) follow(from mesh.Host, lead mesh.Lead) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.leaders[lead.Service]
+	now := p.config.Now()
+	if lead.Fence < old.fence && now.Sub(old.heard) < leaderSilence {
+		return
+	}
+	if old.host != from.Name || old.open != lead.Open {
+		p.config.Log.Info().Str("leader", from.Name).Str("service", lead.Service).Int64("fence", int64(lead.Fence)).
+			Bool("open", lead.Open).Msg("group has this leader and state")
+	}
+	p.leaders[lead.Service] = groupLeader{host: from.Name, fence: lead.Fence, open: lead.Open, heard: now}
+}
+
+// place is a verdict as the entry acts on it.
+type place struct {
+	engine  string
+	refused bool
+	comeIn  time.Duration
+	// release gives the place back; it is never nil.
+	release func()
+}
+
+// ask gets a place from the leader. Without a leader, or without a word of it,
+// neither engine nor refusal is set and the entry decides alone.
+func (p *Places) ask(ctx context.Context, a mesh.Ask) place {
+	none := place{release: func() {}}
+	p.mu.Lock()
+	leader, ok := p.leaders[a.Service]
+	if !ok || p.config.Now().Sub(leader.heard) > leaderSilence {
+		p.mu.Unlock()
+		return none
+	}
+	if !leader.open {
+		p.mu.Unlock()
+		none.refused, none.comeIn = true, groupReturn
+		return none
+	}
+	a.ID += "." + strconv.FormatInt(p.serial.Add(1), 36)
+	answer := make(chan mesh.Verdict, 1)
+	p.asks[a.ID] = answer
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.asks, a.ID)
+		p.mu.Unlock()
+	}()
+	release := func() {
+		p.config.Mesh.Send(leader.host, mesh.Message{Release: &mesh.Release{ID: a.ID, Service: a.Service}})
+	}
+	v, ok := p.await(ctx, leader.host, a, answer)
+	if !ok || v.Engine == "" {
+		release()
+	}
+	switch {
+	case !ok:
+		return none
+	case v.Engine == "":
+		none.refused, none.comeIn = true, time.Duration(v.ReturnInMS)*time.Millisecond
+		return none
+	}
+	return place{engine: v.Engine, release: release}
+}
+
+func (p *Places) await(ctx context.Context, leader string, a mesh.Ask, answer chan mesh.Verdict) (mesh.Verdict, bool) {
+	timer := time.NewTimer(askAgain)
+	defer timer.Stop()
+	until := p.config.Now().Add(time.Duration(a.StartInMS)*time.Millisecond + waitAgain)
+	waiting := false
+	for try := 1; ; try++ {
+		p.config.Mesh.Send(leader, mesh.Message{Ask: &a})
+		pause := askAgain
+		if waiting {
+			pause = waitAgain
+		}
+		timer.Reset(pause)
+		select {
+		case v := <-answer:
+			if !v.Wait {
+				return v, true
+			}
+			waiting = true
+			timer.Reset(waitAgain)
+			select {
+			case v := <-answer:
+				if !v.Wait {
+					return v, true
+				}
+			case <-timer.C:
+			case <-ctx.Done():
+				return mesh.Verdict{}, false
+			}
+		case <-timer.C:
+			if !waiting && try >= askTries {
+				return mesh.Verdict{}, false
+			}
+		case <-ctx.Done():
+			return mesh.Verdict{}, false
+		}
+		if p.config.Now().After(until) {
+			return mesh.Verdict{}, false
+		}
+	}
+}
--- a/parts/admission/queue.go
+++ b/parts/admission/queue.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// SetCapacity changes how many requests may hold a place. Those that hold one
+// keep it.
+func (q *Queue) SetCapacity(capacity int) {
+	q.capacity = capacity
+}
+
 // Running is how many requests hold a place.
 func (q *Queue) Running() int {
 	return q.running
--- /dev/null
+++ b/parts/rankload/rankload.go
@@ -0,0 +1,226 @@
+// Package rankload gives requests their places at the ranks of a lock-step
+// group. All ranks wait for the slowest, so places are given where they make the
+// longest part of a pass least longer; what cannot start in time is refused when
+// it comes, with when to come back.
+//
+// It answers the load of a burst: twice what the group can run, for seconds.
+// Then longer batches would make every pass longer and every stream late.
+package rankload
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"camphormill.dev/parts/admission"
+	"camphormill.dev/parts/contract"
+)
+
+const (
+	// fixedPart is the part of a pass that does not depend on the batch, in
+	// requests of a batch: 5.85 ms against 0.355 ms a request.
+	fixedPart = 16
+	// promptTokens is how many prompt tokens weigh as much as one request that
+	// writes, while they are read.
+	promptTokens = 200
+	// readTime is how long a prompt counts as being read.
+	readTime = 150 * time.Millisecond
+	// maxHold bounds how long a place is kept whose release was lost; no route
+	// of the users lets an answer last longer.
+	maxHold = 9 * time.Second
+	// leastReturn is the shortest time after which a refused request should
+	// come back: about what one stream takes.
+	leastReturn = 500 * time.Millisecond
+)
+
+// Rank is what is known of one rank.
+type Rank struct {
+	Engine string // address
+	Slots  int
+	Active int // as the engine told, waiting ones included
+	Pace   float64
+}
+
+// Request asks for a place.
+type Request struct {
+	ID           string
+	Organisation string
+	Urgent       bool
+	Prompt       int // tokens
+	StartBy      time.Time
+	Not          []string // engines that are left out
+}
+
+// Verdict is the word on a request.
+type Verdict struct {
+	ID     string
+	Engine string // set when it has a place
+	Wait   bool
+	Return time.Time // when a refused request should come back
+}
+
+type job struct {
+	request Request
+	engine  string
+	since   time.Time
+}
+
+// Placer is not safe for concurrent use. Time passes only by arguments.
+type Placer struct {
+	ranks   map[string]Rank
+	jobs    map[string]job
+	waiting map[string]Request
+	queue   *admission.Queue
+}
+
+// New returns a placer without ranks.
+func New() *Placer {
+	return &Placer{ranks: map[string]Rank{}, jobs: map[string]job{}, waiting: map[string]Request{}, queue: admission.NewQueue(0)}
+}
+
+// SetRanks takes the ranks that may be given work.
+func (p *Placer) SetRanks(ranks []Rank) {
+	p.ranks = make(map[string]Rank, len(ranks))
+	capacity := 0
+	for _, r := range ranks {
+		p.ranks[r.Engine] = r
+		capacity += r.Slots
+	}
+	p.queue.SetCapacity(capacity)
+}
+
+// Running counts the places taken.
+func (p *Placer) Running() int { return len(p.jobs) }
+
+// Waiting counts the requests without a place yet.
+func (p *Placer) Waiting() int { return len(p.waiting) }
+
+// Offer gives a request a place, lets it wait, or refuses it. A request that was
+// offered before gets the same word again.
+func (p *Placer) Offer(now time.Time, r Request) Verdict {
+	if j, ok := p.jobs[r.ID]; ok {
+		return Verdict{ID: r.ID, Engine: j.engine}
+	}
+	if _, ok := p.waiting[r.ID]; ok {
+		return Verdict{ID: r.ID, Wait: true}
+	}
+	if len(p.ranks) == 0 {
+		return Verdict{ID: r.ID, Return: now.Add(leastReturn)}
+	}
+	word, free := p.queue.Offer(now, asked(r))
+	switch word {
+	case admission.VerdictRun:
+		return p.place(now, r)
+	case admission.VerdictWait:
+		p.waiting[r.ID] = r
+		return Verdict{ID: r.ID, Wait: true}
+	}
+	return Verdict{ID: r.ID, Return: later(free, now.Add(leastReturn))}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func asked(r Request) admission.Request {
+	class := contract.ClassBatch
+	if r.Urgent {
+		class = contract.ClassInteractive
+	}
+	return admission.Request{ID: r.ID, Organisation: r.Organisation, Class: class, Deadline: r.StartBy}
+}
+
+// place chooses the rank whose part of a pass stays shortest.
+func (p *Placer) place(now time.Time, r Request) Verdict {
+	engine := p.best(now, r.Not)
+	if engine == "" {
+		engine = p.best(now, nil)
+	}
+	p.jobs[r.ID] = job{request: r, engine: engine, since: now}
+	return Verdict{ID: r.ID, Engine: engine}
+}
+
+func (p *Placer) best(now time.Time, not []string) string {
+	load := p.loads(now)
+	best, least := "", math.Inf(1)
+	for _, engine := range slices.Sorted(maps.Keys(p.ranks)) {
+		if slices.Contains(not, engine) {
+			continue
+		}
+		rank := p.ranks[engine]
+		part := max(rank.Pace, 1) * (fixedPart + load[engine])
+		if part < least {
+			best, least = engine, part
+		}
+	}
+	return best
+}
+
+// loads is what each rank has to do: what it was given, or what it says if that
+// is more, and the prompts that it still reads.
+func (p *Placer) loads(now time.Time) map[string]float64 {
+	given := make(map[string]float64, len(p.ranks))
+	reading := make(map[string]float64, len(p.ranks))
+	for _, j := range p.jobs {
+		given[j.engine]++
+		if now.Sub(j.since) < readTime {
+			reading[j.engine] += float64(j.request.Prompt) / promptTokens
+		}
+	}
+	for engine, rank := range p.ranks {
+		// What was released since the report is still in it.
+		const released = 2
+		given[engine] = max(given[engine], float64(rank.Active-released)) + reading[engine]
+	}
+	return given
+}
+
+// Release gives a place back and returns the verdicts on requests that waited.
+func (p *Placer) Release(now time.Time, id string) []Verdict {
+	if _, ok := p.waiting[id]; ok {
+		delete(p.waiting, id)
+		p.queue.Remove(id)
+		return nil
+	}
+	if j, ok := p.jobs[id]; ok {
+		delete(p.jobs, id)
+		p.queue.Done(now.Sub(j.since))
+	}
+	return p.Next(now)
+}
+
+// Next returns the verdicts on requests that get a place now or wait in vain.
+func (p *Placer) Next(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for id, j := range p.jobs {
+		if now.Sub(j.since) > maxHold {
+			delete(p.jobs, id)
+			p.queue.Done(maxHold)
+		}
+	}
+	refused := p.queue.Expired(now)
+	for len(p.ranks) > 0 {
+		run, late := p.queue.Next(now)
+		refused = append(refused, late...)
+		if run == nil {
+			break
+		}
+		r := p.waiting[run.ID]
+		delete(p.waiting, run.ID)
+		verdicts = append(verdicts, p.place(now, r))
+	}
+	if len(p.ranks) == 0 {
+		refused = append(refused, p.queue.Flush()...)
+	}
+	for _, r := range refused {
+		delete(p.waiting, r.ID)
+		verdicts = append(verdicts, Verdict{ID: r.ID, Return: now.Add(leastReturn)})
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int { return cmp.Compare(a.ID, b.ID) })
+	return verdicts
+}
--- /dev/null
+++ b/targetd/ranks/agent.go
@@ -0,0 +1,326 @@
+package ranks
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mapswitch"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/routes"
+)
+
+const (
+	// readEvery is how often the own engine is read; demand shifts every few
+	// seconds and must be seen within a few tenths of one.
+	readEvery = 100 * time.Millisecond
+	// leadSilence is how long a leader may be silent before another takes over:
+	// some lost beats, well under the second in which a held pass must resolve.
+	leadSilence = 700 * time.Millisecond
+	// claimSpread spreads the claims of ranks that miss the leader at once.
+	claimSpread = 400 * time.Millisecond
+	// readTimeout bounds a read of the own engine.
+	readTimeout = 300 * time.Millisecond
+	// orderTimeout is how long an engine may take to answer an order.
+	orderTimeout = 120 * time.Millisecond
+	// layoutAge is how old the own layout may grow; it changes only by orders.
+	layoutAge = time.Second
+)
+
+// Config is what an Agent is built from.
+type Config struct {
+	Self    mesh.Host
+	Service string
+	Engine  Engine
+	Store   Store
+	Mesh    *mesh.Mesh
+	Now     func() time.Time
+	// SkewTarget is the skew at which a layout is good enough; copies cost more
+	// below it.
+	SkewTarget float64
+	Log        zerolog.Logger
+}
+
+// Agent is one target daemon's part in its group. It is safe for concurrent use.
+type Agent struct {
+	config Config
+
+	mu       sync.Mutex
+	shape    *routes.Engine
+	rank     mesh.Rank // newest of the own engine
+	known    bool
+	layoutAt time.Time
+	counts   []int64
+	epoch    int64
+	lead     mesh.Lead // newest leader of the own group
+	leader   string
+	leadAt   time.Time
+	patience time.Duration // until the next claim
+	leading  *leader
+	readable bool
+}
+
+// New returns an agent that knows nothing yet.
+func New(c Config) *Agent {
+	return &Agent{config: c, leadAt: c.Now(), patience: leadSilence + spread(), readable: true}
+}
+
+func spread() time.Duration {
+	return time.Duration(rand.Int64N(int64(claimSpread)))
+}
+
+// Run reads the engine and leads while it has to, until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	ticker := time.NewTicker(readEvery)
+	defer ticker.Stop()
+	for {
+		a.learnShape(ctx)
+		a.read(ctx)
+		a.report()
+		a.maybeClaim(ctx)
+		a.advance()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Agent) learnShape(ctx context.Context) {
+	a.mu.Lock()
+	known := a.shape != nil
+	a.mu.Unlock()
+	if known {
+		return
+	}
+	shape, err := a.config.Store.Shape(ctx)
+	if err != nil {
+		a.config.Log.Debug().Err(err).Msg("shape of the engine's service is not known yet; it is asked for again")
+		return
+	}
+	a.mu.Lock()
+	a.shape = &shape
+	a.mu.Unlock()
+}
+
+// read reads the own engine.
+func (a *Agent) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	report, err := a.config.Engine.Read(ctx)
+	a.noteReadable(err)
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	stale := a.config.Now().Sub(a.layoutAt) > layoutAge || !a.known ||
+		report.View.Map != a.rank.View.Map || report.View.Epoch != a.rank.View.Epoch
+	a.mu.Unlock()
+	var layout *Layout
+	var choices []int64
+	if report.Group != "" {
+		if stale {
+			if l, err := a.config.Engine.Layout(ctx); err == nil && l.Map == report.View.Map {
+				layout = &l
+			}
+		}
+		if choices, err = a.config.Engine.Choices(ctx); err != nil {
+			a.config.Log.Warn().Err(err).Msg("choices of the engine cannot be read; the next read counts them")
+		}
+	}
+	a.take(report, layout, choices)
+}
+
+func (a *Agent) noteReadable(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.readable == (err == nil) {
+		return
+	}
+	a.readable = err == nil
+	if err != nil {
+		a.config.Log.Warn().Err(err).Str("engine", a.config.Self.Engine).Msg("engine lost; it is read again and again")
+		return
+	}
+	a.config.Log.Info().Str("engine", a.config.Self.Engine).Msg("engine regained")
+}
+
+func (a *Agent) take(r Report, layout *Layout, choices []int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Group != a.rank.Group {
+		a.config.Log.Info().Str("group", r.Group).Int("rank", r.Rank).Int("size", r.Size).Msg("engine is in this group now")
+		a.leading = nil
+		a.lead = mesh.Lead{}
+	}
+	held := a.rank.Held
+	if layout != nil {
+		held = layout.Held
+		a.layoutAt = a.config.Now()
+	} else if r.View.Map != a.rank.View.Map || r.View.Epoch != a.rank.View.Epoch {
+		held = nil
+	}
+	a.known = true
+	a.rank = mesh.Rank{
+		Service: a.config.Service, Engine: a.config.Self.Engine, Group: r.Group, Rank: r.Rank, Size: r.Size, Open: r.Open,
+		View: r.View, Queued: r.Queued, Active: r.Active, Pace: r.Pace, Held: held, Sequence: a.rank.Sequence + 1,
+		Choices: encodeChoices(a.counts, choices),
+	}
+	if choices != nil {
+		a.counts = choices
+	}
+}
+
+// encodeChoices gives the choices since the last read as varints. A count that
+// went back belongs to an engine that started anew.
+func encodeChoices(before, now []int64) []byte {
+	if len(before) != len(now) {
+		return nil
+	}
+	out := make([]byte, 0, len(now))
+	for i := range now {
+		if now[i] < before[i] {
+			return nil
+		}
+		out = binary.AppendUvarint(out, uint64(now[i]-before[i]))
+	}
+	return out
+}
+
+// report tells the leader what was read.
+func (a *Agent) report() {
+	a.mu.Lock()
+	r, leader, self := a.rank, a.leader, a.leading
+	r.Fence = a.lead.Fence
+	ready := a.known && r.Group != ""
+	a.mu.Unlock()
+	if !ready {
+		return
+	}
+	if self != nil {
+		self.takeRank(a.config.Self.Name, r)
+		return
+	}
+	if leader != "" {
+		a.config.Mesh.Send(leader, mesh.Message{Rank: &r})
+	}
+}
+
+// maybeClaim takes the lead of the group when its leader has been silent.
+func (a *Agent) maybeClaim(ctx context.Context) {
+	a.mu.Lock()
+	group, open := a.rank.Group, a.known
+	silent := a.config.Now().Sub(a.leadAt)
+	due := open && group != "" && a.leading == nil && a.shape != nil && silent > a.patience
+	shape := a.shape
+	old := a.lead
+	a.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	fence, err := a.config.Store.Claim(ctx, group)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.patience = leadSilence + spread()
+	if err != nil {
+		a.config.Log.Warn().Err(err).Str("group", group).Msg("lead cannot be claimed; tried again")
+		a.leadAt = a.config.Now()
+		return
+	}
+	if fence <= a.lead.Fence {
+		a.leadAt = a.config.Now()
+		return
+	}
+	a.lead = mesh.Lead{Service: a.config.Service, Group: group, Fence: fence}
+	a.leader = a.config.Self.Name
+	a.leading = newLeader(a.config, group, fence, *shape, old.Fence > 0)
+	a.config.Log.Info().Str("group", group).Int64("fence", int64(fence)).Dur("silent", silent).
+		Int64("old_fence", int64(old.Fence)).Msg("leads the group now")
+}
+
+// advance lets the leader do what is due.
+func (a *Agent) advance() {
+	a.mu.Lock()
+	l := a.leading
+	if l != nil && l.deposed() {
+		a.config.Log.Info().Str("group", l.group).Int64("fence", int64(l.fence)).Msg("no longer leads; a higher fence was seen")
+		a.leading = nil
+		a.leader = ""
+		l = nil
+	}
+	a.mu.Unlock()
+	if l != nil {
+		l.tick()
+	}
+}
+
+// Handle takes a message of another daemon.
+func (a *Agent) Handle(from mesh.Host, m mesh.Message) {
+	switch {
+	case m.Lead != nil:
+		a.follow(from, *m.Lead)
+	case m.Order != nil:
+		go a.order(from, *m.Order)
+	default:
+		a.mu.Lock()
+		l := a.leading
+		a.mu.Unlock()
+		if l != nil {
+			l.handle(from, m)
+		}
+	}
+}
+
+// follow notes who leads the group; the highest fence counts.
+func (a *Agent) follow(from mesh.Host, lead mesh.Lead) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if lead.Service != a.config.Service || (a.known && lead.Group != a.rank.Group) || lead.Fence < a.lead.Fence {
+		return
+	}
+	if lead.Fence > a.lead.Fence {
+		a.config.Log.Info().Str("leader", from.Name).Str("group", lead.Group).Int64("fence", int64(lead.Fence)).Msg("another leader is followed")
+		a.leading = nil
+	}
+	if a.leading != nil {
+		return
+	}
+	a.lead, a.leader, a.leadAt = lead, from.Name, a.config.Now()
+	a.patience = leadSilence + spread()
+}
+
+// order gives the own engine an order of the leader, unless a higher fence is
+// known.
+func (a *Agent) order(from mesh.Host, o mesh.Order) {
+	a.mu.Lock()
+	stale := o.Order.Fence < a.lead.Fence
+	a.mu.Unlock()
+	answer := mesh.Ordered{ID: o.ID, Result: mapswitch.Fenced}
+	if !stale {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		result, err := a.config.Engine.Order(ctx, a.config.Self.Engine, o.Order, o.Map)
+		if err != nil {
+			a.config.Log.Debug().Err(err).Str("order", string(o.Order.Kind)).Msg("order has no answer; the leader repeats it")
+			return
+		}
+		answer.Result = result
+		a.config.Log.Debug().Str("order", string(o.Order.Kind)).Int64("map", int64(o.Order.Version)).
+			Int64("pass", int64(o.Order.Pass)).Int64("fence", int64(o.Order.Fence)).Str("result", string(result)).Msg("order given to the engine")
+	}
+	a.config.Mesh.Send(from.Name, mesh.Message{Ordered: &answer})
+}
+
+// Leads says whether this daemon leads its group.
+func (a *Agent) Leads() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leading != nil
+}
--- /dev/null
+++ b/targetd/ranks/services.go
@@ -0,0 +1,68 @@
+package ranks
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/daemon"
+	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/mesh"
+)
+
+// hostSilence is after which time without a message a host counts as lost.
+const hostSilence = 2 * time.Second
+
+// watchEvery is how often lost hosts are looked for.
+const watchEvery = 500 * time.Millisecond
+
+// ServicesConfig is what a target daemon beside a rank is built from. Self and
+// Mesh of the agent's configuration are filled in here.
+type ServicesConfig struct {
+	Self  mesh.Host
+	Hosts mesh.List
+	Agent Config
+	Log   zerolog.Logger
+}
+
+// Services registers the services of a target daemon with a kernel.
+func Services(k *kernel.Kernel, c ServicesConfig) {
+	var m *mesh.Mesh
+	var agent *Agent
+	start := func(context.Context, *kernel.Kernel) (any, error) {
+		var err error
+		m, err = mesh.Listen(mesh.Config{
+			Self: c.Self, Silence: hostSilence, Now: time.Now, Log: daemon.Part(c.Log, "mesh"),
+			Handle: func(from mesh.Host, message mesh.Message) { agent.Handle(from, message) },
+			Lost:   func(h mesh.Host) { c.Log.Debug().Str("host", h.Name).Msg("host lost") },
+			Found:  func(h mesh.Host) { c.Log.Debug().Str("host", h.Name).Msg("host found") },
+		})
+		if err != nil {
+			return nil, err
+		}
+		config := c.Agent
+		config.Self, config.Mesh = c.Self, m
+		agent = New(config)
+		return agent, nil
+	}
+	k.Register(kernel.Service{Name: "agent", Start: start})
+	loop := func(name string, run func(ctx context.Context)) {
+		k.Register(kernel.Loop(name, []string{"agent"}, func(ctx context.Context, _ *kernel.Kernel) { run(ctx) }))
+	}
+	loop("messages", func(ctx context.Context) { m.Run(ctx) })
+	loop("join", func(ctx context.Context) { m.Join(ctx, c.Hosts) })
+	loop("engine", func(ctx context.Context) { agent.Run(ctx) })
+	loop("watch", func(ctx context.Context) {
+		ticker := time.NewTicker(watchEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				m.Watch()
+			}
+		}
+	})
+}
