Leader: no plan before the last map is in force at every rank

Cause: a switch ended when the holding rank was told to go on; the held pass came some 100 ms later, and the plan made meanwhile took the old layout for the new one: skew 3.09 'again' a tenth of a second after a switch planned for 1.13, 26 copies made twice, and a prepare that exceeds the ranks' room given up after 2.5 s. Ruled out: the estimate of demand (no shift between the two switches in the log). Change: planning waits until every rank begins passes under the map, 1 s at most. Test: TestOneShiftNeedsOneSwitch, red without.

--- /dev/null
+++ b/targetd/ranks/group_test.go
@@ -0,0 +1,236 @@
+package ranks_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mapswitch"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/routes"
+	"camphormill.dev/targetd/ranks"
+)
+
+const (
+	groupRanks   = 4
+	groupExperts = 16
+	groupPlaces  = 6
+)
+
+// group is a lock-step group of fake engines that follow orders as engines do.
+type group struct {
+	mu       sync.Mutex
+	pass     mapswitch.Pass
+	engines  [groupRanks]fakeEngine
+	hot      int // demand peaks at this expert
+	mixed    bool
+	prepares int
+	refused  int
+	// slowPasses stretches the time until a held pass is reached.
+	passEvery time.Duration
+}
+
+type fakeEngine struct {
+	view   mapswitch.View
+	fence  mapswitch.Fence
+	armAt  mapswitch.Pass
+	held   []int
+	next   []int
+	counts []int64
+}
+
+func newGroup(passEvery time.Duration) *group {
+	g := &group{passEvery: passEvery}
+	for i := range g.engines {
+		e := &g.engines[i]
+		e.view = mapswitch.View{Epoch: 1, Held: mapswitch.NoPass}
+		e.counts = make([]int64, groupExperts)
+		for x := i; x < groupExperts; x += groupRanks {
+			e.held = append(e.held, x)
+		}
+	}
+	return g
+}
+
+// run makes passes until the context ends.
+func (g *group) run(ctx context.Context) {
+	ticker := time.NewTicker(g.passEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.step()
+		}
+	}
+}
+
+func (g *group) step() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := g.pass + 1
+	for _, e := range g.engines {
+		if e.view.Held == next {
+			return
+		}
+	}
+	g.pass = next
+	for i := range g.engines {
+		e := &g.engines[i]
+		e.view.Pass = next
+		if e.view.Armed != 0 && e.armAt == next {
+			e.view.Map, e.view.Armed, e.held = e.view.Armed, 0, e.next
+		}
+		for x := range groupExperts {
+			e.counts[x] += 100
+		}
+		// Two hot experts that the map in turn puts on one rank.
+		e.counts[g.hot] += 1500
+		e.counts[(g.hot+groupRanks)%groupExperts] += 1500
+	}
+	for _, e := range g.engines {
+		g.mixed = g.mixed || e.view.Map != g.engines[0].view.Map
+	}
+}
+
+func (g *group) order(rank int, o mapswitch.Order, layout [][][]int) mapswitch.Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := &g.engines[rank]
+	if o.Fence < e.fence {
+		return mapswitch.Fenced
+	}
+	e.fence = o.Fence
+	switch o.Kind {
+	case mapswitch.Prepare:
+		g.prepares++
+		if o.Version <= e.view.Prepared || e.view.Armed != 0 {
+			g.refused++
+			return mapswitch.Refused
+		}
+		e.view.Prepared, e.next = o.Version, layout[0][rank]
+	case mapswitch.Arm:
+		if e.view.Prepared != o.Version || g.pass >= o.Pass {
+			return mapswitch.Refused
+		}
+		e.view.Armed, e.armAt = o.Version, o.Pass
+	case mapswitch.Disarm:
+		e.view.Armed = 0
+	case mapswitch.Hold:
+		if g.pass >= o.Pass {
+			return mapswitch.Refused
+		}
+		e.view.Held = o.Pass
+	case mapswitch.Go:
+		if e.view.Held == o.Pass {
+			e.view.Held = mapswitch.NoPass
+		}
+	}
+	return mapswitch.Done
+}
+
+func (g *group) engine(rank int, engines map[string]int) ranks.Engine {
+	return ranks.Engine{
+		Read: func(context.Context) (ranks.Report, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return ranks.Report{Group: "g", Rank: rank, Size: groupRanks, Open: true, View: g.engines[rank].view, Pace: 1}, nil
+		},
+		Choices: func(context.Context) ([]int64, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return slices.Clone(g.engines[rank].counts), nil
+		},
+		Layout: func(context.Context) (ranks.Layout, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return ranks.Layout{Map: g.engines[rank].view.Map, Held: [][]int{g.engines[rank].held}}, nil
+		},
+		Order: func(_ context.Context, address string, o mapswitch.Order, layout [][][]int) (mapswitch.Result, error) {
+			return g.order(engines[address], o, layout), nil
+		},
+	}
+}
+
+// start runs a target daemon's agent beside each engine.
+func (g *group) start(t *testing.T, ctx context.Context) {
+	t.Helper()
+	is := is.New(t)
+	hosts := make([]mesh.Host, groupRanks)
+	engines := map[string]int{}
+	for i := range hosts {
+		probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		is.NoErr(err)
+		hosts[i] = mesh.Host{Name: fmt.Sprint("t", i), Role: mesh.Target, Address: probe.LocalAddr().String(), Engine: fmt.Sprint("e", i)}
+		engines[hosts[i].Engine] = i
+		is.NoErr(probe.Close())
+	}
+	var mu sync.Mutex
+	claims := int64(0)
+	for i, host := range hosts {
+		var agent *ranks.Agent
+		m, err := mesh.Listen(mesh.Config{
+			Self: host, Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
+			Handle: func(from mesh.Host, message mesh.Message) { agent.Handle(from, message) },
+		})
+		is.NoErr(err)
+		agent = ranks.New(ranks.Config{
+			Self: host, Service: "s", Engine: g.engine(i, engines), Mesh: m, Now: time.Now, SkewTarget: 1.15, Log: zerolog.Nop(),
+			Store: ranks.Store{
+				Claim: func(context.Context, string) (mapswitch.Fence, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					claims++
+					return ranks.Fence(claims), nil
+				},
+				Shape: func(context.Context) (routes.Engine, error) {
+					return routes.Engine{Slots: 4, Sets: 1, Experts: groupExperts, Places: groupPlaces, Spare: 3}, nil
+				},
+			},
+		})
+		go m.Run(ctx)
+		go m.Join(ctx, mesh.List{
+			Register: func(context.Context, mesh.Host) error { return nil },
+			Hosts:    func(context.Context) ([]mesh.Host, error) { return hosts, nil },
+		})
+		go agent.Run(ctx)
+	}
+	go g.run(ctx)
+}
+
+func (g *group) versions() (mapswitch.Version, bool, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.engines[0].view.Map, g.mixed, g.refused
+}
+
+// TestOneShiftNeedsOneSwitch plays a group whose passes are slow, so that the held
+// pass is reached well after the switch was led. A leader that plans meanwhile
+// takes the old layout for the new one, and copies it all again.
+func TestOneShiftNeedsOneSwitch(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGroup(150 * time.Millisecond)
+	g.start(t, ctx)
+	var version mapswitch.Version
+	deadline := time.Now().Add(8 * time.Second)
+	for version == 0 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+		version, _, _ = g.versions()
+	}
+	is.Equal(version, mapswitch.Version(1)) // the group has changed its map
+	time.Sleep(2 * time.Second)             // real time: engines and daemons run by it
+	version, mixed, refused := g.versions()
+	is.Equal(version, mapswitch.Version(1)) // and does not change it again for the same demand
+	is.Equal(refused, 0)
+	is.True(!mixed)
+}
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -41,6 +41,8 @@
 	// worthwhile is by how much a switch must lower the skew, below which copies
 	// slow passes more than they help.
 	worthwhile = 0.1
+	// arrivalTime bounds the wait for the held pass after a switch.
+	arrivalTime = time.Second
 	// fencesASwitch: one to lead it, one to undo it.
 	fencesASwitch = 2
 )
@@ -78,6 +80,10 @@
 	orders   map[int]sent
 	orderID  int64
 	plannedS float64
+	// awaited is the map of the last switch until every rank has begun a pass
+	// under it; before that the layouts told are those of the old map.
+	awaited mapswitch.Version
+	awaitAt time.Time
 }
 
 type sent struct {
@@ -336,7 +342,7 @@
 // plan starts a switch when the layout in force is too uneven for the demand.
 func (l *leader) plan(now time.Time) {
 	shares := l.demand.Shares()
-	if shares == nil || !l.open || !l.whole(now) {
+	if shares == nil || !l.open || !l.whole(now) || !l.arrived(now) {
 		return
 	}
 	current, ok := l.layout()
@@ -378,6 +384,20 @@
 	l.start(now, mapswitch.New(l.switchConfig(version+1)))
 }
 
+// arrived says whether the last switch has taken effect at every rank. An idle
+// group makes no passes; a new epoch has forgotten the switch.
+func (l *leader) arrived(now time.Time) bool {
+	if l.awaited == 0 || now.Sub(l.awaitAt) > arrivalTime {
+		return true
+	}
+	for _, r := range l.ranks {
+		if r.rank.View.Map < l.awaited {
+			return false
+		}
+	}
+	return true
+}
+
 // layout assembles the map in force from what the ranks hold.
 func (l *leader) layout() ([]placement.Layout, bool) {
 	layouts := make([]placement.Layout, l.shape.Sets)
@@ -413,6 +433,10 @@
 	}
 	if l.phase == mapswitch.Finished {
 		l.log.Info().Int64("map", int64(l.current.Version())).Bool("undone", l.current.Undone()).Float64("skew_planned", l.plannedS).Msg("switch ended")
+		l.awaited, l.awaitAt = 0, now
+		if !l.current.Undone() {
+			l.awaited = l.current.Version()
+		}
 		l.current = nil
 		return
 	}
