Leader: engines of silent daemons are read from afar; earlier takeover

Ruled out: the claim (made after 0.8 s), the order of the undo. Change: a leader reads the engine of a silent daemon itself and orders it directly. Test: TestFrozenLeaderLeavesNothingHeld, red without the reads.

--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -20,9 +20,9 @@
 	readEvery = 100 * time.Millisecond
 	// leadSilence is how long a leader may be silent before another takes over:
 	// some lost beats, well under the second in which a held pass must resolve.
-	leadSilence = 700 * time.Millisecond
+	leadSilence = 500 * time.Millisecond
 	// claimSpread spreads the claims of ranks that miss the leader at once.
-	claimSpread = 400 * time.Millisecond
+	claimSpread = 300 * time.Millisecond
 	// readTimeout bounds a read of the own engine.
 	readTimeout = 300 * time.Millisecond
 	// orderTimeout is how long an engine may take to answer an order.
@@ -112,7 +112,7 @@
 func (a *Agent) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	report, err := a.config.Engine.Read(ctx)
+	report, err := a.config.Engine.Read(ctx, a.config.Self.Engine)
 	a.noteReadable(err)
 	if err != nil {
 		return
--- a/targetd/ranks/engine.go
+++ b/targetd/ranks/engine.go
@@ -32,7 +32,9 @@
 // Engine is how engines are read and ordered. Errors of Order mean that the
 // order may have been accepted, or may be carried out later.
 type Engine struct {
-	Read    func(ctx context.Context) (Report, error)
+	// Read reads the engine at an address; engines are free to read only for
+	// the daemon beside them.
+	Read    func(ctx context.Context, address string) (Report, error)
 	Choices func(ctx context.Context) ([]int64, error) // since the start, by set and expert
 	Layout  func(ctx context.Context) (Layout, error)
 	// Order goes to the engine at an address; layout is that of a prepare.
--- a/targetd/ranks/group_test.go
+++ b/targetd/ranks/group_test.go
@@ -26,15 +26,18 @@
 
 // group is a lock-step group of fake engines that follow orders as engines do.
 type group struct {
-	mu       sync.Mutex
-	pass     mapswitch.Pass
-	engines  [groupRanks]fakeEngine
-	hot      int // demand peaks at this expert
-	mixed    bool
-	prepares int
-	refused  int
-	// slowPasses stretches the time until a held pass is reached.
+	mu        sync.Mutex
+	pass      mapswitch.Pass
+	engines   [groupRanks]fakeEngine
+	hot       int // demand peaks at this expert
+	mixed     bool
+	prepares  int
+	refused   int
 	passEvery time.Duration
+	// freezeAtHold freezes the daemon that first holds a pass, for good.
+	freezeAtHold bool
+	frozen       string // its host
+	heldAt       time.Time
 }
 
 type fakeEngine struct {
@@ -73,6 +76,25 @@
 	}
 }
 
+func (g *group) heldSince() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heldAt
+}
+
+func (g *group) passes() mapswitch.Pass {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pass
+}
+
+// stopped blocks the daemon of a host while it is frozen.
+func (g *group) stopped(host string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.frozen == host
+}
+
 func (g *group) step() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -137,11 +159,15 @@
 	return mapswitch.Done
 }
 
-func (g *group) engine(rank int, engines map[string]int) ranks.Engine {
+func (g *group) engine(ctx context.Context, rank int, host string, engines map[string]int) ranks.Engine {
 	return ranks.Engine{
-		Read: func(context.Context) (ranks.Report, error) {
+		Read: func(_ context.Context, address string) (ranks.Report, error) {
+			if g.stopped(host) {
+				<-ctx.Done()
+			}
 			g.mu.Lock()
 			defer g.mu.Unlock()
+			rank := engines[address]
 			return ranks.Report{Group: "g", Rank: rank, Size: groupRanks, Open: true, View: g.engines[rank].view, Pace: 1}, nil
 		},
 		Choices: func(context.Context) ([]int64, error) {
@@ -155,6 +181,16 @@
 			return ranks.Layout{Map: g.engines[rank].view.Map, Held: [][]int{g.engines[rank].held}}, nil
 		},
 		Order: func(_ context.Context, address string, o mapswitch.Order, layout [][][]int) (mapswitch.Result, error) {
+			if g.stopped(host) {
+				<-ctx.Done()
+			}
+			if g.freezeAtHold && o.Kind == mapswitch.Hold {
+				g.mu.Lock()
+				if g.frozen == "" {
+					g.frozen, g.heldAt = host, time.Now()
+				}
+				g.mu.Unlock()
+			}
 			return g.order(engines[address], o, layout), nil
 		},
 	}
@@ -179,11 +215,15 @@
 		var agent *ranks.Agent
 		m, err := mesh.Listen(mesh.Config{
 			Self: host, Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
-			Handle: func(from mesh.Host, message mesh.Message) { agent.Handle(from, message) },
+			Handle: func(from mesh.Host, message mesh.Message) {
+				if !g.stopped(host.Name) {
+					agent.Handle(from, message)
+				}
+			},
 		})
 		is.NoErr(err)
 		agent = ranks.New(ranks.Config{
-			Self: host, Service: "s", Engine: g.engine(i, engines), Mesh: m, Now: time.Now, SkewTarget: 1.15, Log: zerolog.Nop(),
+			Self: host, Service: "s", Engine: g.engine(ctx, i, host.Name, engines), Mesh: m, Now: time.Now, SkewTarget: 1.15, Log: zerolog.Nop(),
 			Store: ranks.Store{
 				Claim: func(context.Context, string) (mapswitch.Fence, error) {
 					mu.Lock()
@@ -234,3 +274,25 @@
 	is.Equal(refused, 0)
 	is.True(!mixed)
 }
+
+// TestFrozenLeaderLeavesNothingHeld freezes the leader's daemon right after it has
+// held a pass. The others must let the group go on within a second and a half,
+// past the frozen daemon, and under one map.
+func TestFrozenLeaderLeavesNothingHeld(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGroup(30 * time.Millisecond)
+	g.freezeAtHold = true
+	g.start(t, ctx)
+	deadline := time.Now().Add(8 * time.Second)
+	for g.heldSince().IsZero() && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(!g.heldSince().IsZero()) // a pass was held and its leader froze
+	passed := g.passes()
+	time.Sleep(1500 * time.Millisecond)
+	is.True(g.passes() > passed+5) // the group goes on
+	_, mixed, _ := g.versions()
+	is.True(!mixed)
+}
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -21,9 +21,13 @@
 
 const (
 	// leadEvery is how often a leader says that it leads, a third of leadSilence.
-	leadEvery = 200 * time.Millisecond
+	leadEvery = 150 * time.Millisecond
 	// rankAge is how old the word of a rank may be for a decision that needs all.
 	rankAge = 600 * time.Millisecond
+	// farAfter is how long a rank's daemon may be silent before the leader reads
+	// its engine itself, and farEvery how often it does; such reads are paid for.
+	farAfter = 300 * time.Millisecond
+	farEvery = 250 * time.Millisecond
 	// repeatAfter is when an order without an answer is sent again.
 	repeatAfter = 60 * time.Millisecond
 	// copyRepeat is when a prepare is sent again; its copies take some tenths.
@@ -51,6 +55,7 @@
 	host string
 	rank mesh.Rank
 	at   time.Time
+	far  bool // read past its silent daemon
 }
 
 // leader is what the leading daemon of a group keeps. It is safe for concurrent
@@ -84,6 +89,8 @@
 	// under it; before that the layouts told are those of the old map.
 	awaited mapswitch.Version
 	awaitAt time.Time
+	began   time.Time
+	farRead map[string]time.Time // by host
 }
 
 type sent struct {
@@ -98,7 +105,7 @@
 func newLeader(c Config, group string, fence mapswitch.Fence, shape routes.Engine, takeover bool) *leader {
 	return &leader{
 		config: c, group: group, shape: shape, fence: fence, next: fence, ranks: map[int]rankState{}, placer: rankload.New(),
-		askers: map[string]string{}, orders: map[int]sent{}, log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
+		askers: map[string]string{}, orders: map[int]sent{}, farRead: map[string]time.Time{}, began: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
 	}
 }
 
@@ -114,6 +121,7 @@
 	defer l.mu.Unlock()
 	now := l.config.Now()
 	l.tell(now)
+	l.readFar(now)
 	l.updateRanks(now)
 	l.send(l.placer.Next(now))
 	l.watchHeld(now)
@@ -160,10 +168,64 @@
 		return
 	}
 	now := l.config.Now()
-	l.ranks[r.Rank] = rankState{host: host, rank: r, at: now}
 	l.gather(r.Choices)
+	l.note(now, rankState{host: host, rank: r, at: now})
+}
+
+// readFar reads the engines whose daemons are silent: a held pass must not wait
+// for a frozen host.
+func (l *leader) readFar(now time.Time) {
+	if now.Sub(l.began) < farAfter {
+		return
+	}
+	heard := map[string]bool{l.config.Self.Name: true}
+	for _, r := range l.ranks {
+		heard[r.host] = heard[r.host] || (!r.far && now.Sub(r.at) < farAfter)
+	}
+	for _, h := range l.config.Mesh.Known(mesh.Target) {
+		if !heard[h.Name] && now.Sub(l.farRead[h.Name]) >= farEvery {
+			l.farRead[h.Name] = now
+			go l.readEngine(h)
+		}
+	}
+}
+
+func (l *leader) readEngine(h mesh.Host) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	r, err := l.config.Engine.Read(ctx, h.Engine)
+	if err != nil {
+		l.log.Debug().Err(err).Str("host", h.Name).Msg("engine of a silent daemon cannot be read; it is tried again")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Group != l.group {
+		return
+	}
+	now := l.config.Now()
+	old, known := l.ranks[r.Rank]
+	if known && !old.far && now.Sub(old.at) < farAfter {
+		return // its daemon has spoken meanwhile
+	}
+	if !known || !old.far {
+		l.log.Info().Str("host", h.Name).Int("rank", r.Rank).Msg("daemon of a rank is silent; its engine is read from here")
+	}
+	rank := mesh.Rank{
+		Service: l.config.Service, Engine: h.Engine, Group: r.Group, Rank: r.Rank, Size: r.Size, Open: r.Open,
+		View: r.View, Queued: r.Queued, Active: r.Active, Pace: r.Pace,
+	}
+	if known && old.rank.View.Map == r.View.Map && old.rank.View.Epoch == r.View.Epoch {
+		rank.Held = old.rank.Held
+	}
+	l.note(now, rankState{host: h.Name, rank: rank, at: now, far: true})
+}
+
+// note takes the newest of a rank.
+func (l *leader) note(now time.Time, state rankState) {
+	l.ranks[state.rank.Rank] = state
 	if l.current != nil {
-		s := l.current.WithView(r.Rank, r.View)
+		s := l.current.WithView(state.rank.Rank, state.rank.View)
 		l.current = &s
 		l.proceed(now)
 	}
@@ -481,7 +543,7 @@
 		message.Map = l.layouts
 	}
 	own := state.host == l.config.Self.Name
-	if own || now.Sub(first) > directAfter {
+	if own || state.far || now.Sub(first) > directAfter {
 		go l.direct(rank, s.id, state.rank.Engine, message)
 	}
 	if !own {
