Map switches: entries give the orders of the hold window

Ruled out: reading the engine from afar (it times out for the whole freeze); holding elsewhere than at the leader (the arming host freezes as well); switching without a hold (a kill of all processes between two arms would mix maps). Change: hold, arm, disarm and go are given by entries in turn, which have no engine beside them; prepares stay with the rank's own daemon, free of charge.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -20,6 +20,7 @@
 	"camphormill.dev/parts/exchange"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/mapswitch"
 	"camphormill.dev/parts/mesh"
 	"camphormill.dev/parts/quarantine"
 	"camphormill.dev/parts/registry"
@@ -47,6 +48,8 @@
 	reserveShare = 0.5
 	// strikeLasts is how long a strike counts at a peer.
 	strikeLasts = 10 * time.Minute
+	// orderTimeout is how long an engine may take to answer an order.
+	orderTimeout = 120 * time.Millisecond
 	// idleCallers is how long a caller's connection may rest; above the longest
 	// limit that operators publish.
 	idleCallers = time.Minute
@@ -66,12 +69,14 @@
 	// ReadyDoor and DirectoryDoor serve the platform's questions.
 	ReadyDoor     func(f *Front) http.Handler
 	DirectoryDoor func(f *Front) http.Handler
-	KeyBound      time.Duration
-	StopWithin    time.Duration
-	RetryShare    float64
-	RetrySlack    float64
-	Entries       int // entries that share the retries
-	Log           zerolog.Logger
+	// Order gives an engine an order of a group's leader.
+	Order      func(ctx context.Context, o mesh.Order) (mapswitch.Result, error)
+	KeyBound   time.Duration
+	StopWithin time.Duration
+	RetryShare float64
+	RetrySlack float64
+	Entries    int // entries that share the retries
+	Log        zerolog.Logger
 }
 
 // Front is a running entry.
@@ -146,11 +151,31 @@
 		s := m.Strike.Strike
 		s.Until = time.Now().Add(time.Duration(m.Strike.LastsS) * time.Second)
 		f.relay.MergeStrike(s)
+	case m.Order != nil:
+		go f.order(from, *m.Order)
 	default:
 		f.places.Handle(from, m)
 	}
 }
 
+// order gives an engine an order for a leader. One without an answer is repeated
+// by the leader.
+func (f *Front) order(from mesh.Host, o mesh.Order) {
+	if f.places.Fenced(o.Service, o.Order.Fence) {
+		f.mesh.Send(from.Name, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: mapswitch.Fenced}})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	result, err := f.config.Order(ctx, o)
+	if err != nil {
+		f.config.Log.Info().Err(err).Str("leader", from.Name).Str("engine", o.Engine).Str("order", string(o.Order.Kind)).
+			Int64("fence", int64(o.Order.Fence)).Msg("order has no answer")
+		return
+	}
+	f.mesh.Send(from.Name, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: result}})
+}
+
 func (f *Front) shareStrike(s quarantine.Strike) {
 	for _, h := range f.mesh.Known(mesh.Entry) {
 		f.mesh.Send(h.Name, mesh.Message{Strike: &mesh.Strike{Strike: s, LastsS: int(strikeLasts.Seconds())}})
--- a/entryd/relay/places.go
+++ b/entryd/relay/places.go
@@ -89,6 +89,13 @@
 	p.leaders[lead.Service] = groupLeader{host: from.Name, fence: lead.Fence, open: lead.Open, heard: now}
 }
 
+// Fenced says whether a leader with a higher fence is known for the service.
+func (p *Places) Fenced(service string, fence mapswitch.Fence) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fence < p.leaders[service].fence
+}
+
 // place is a verdict as the entry acts on it.
 type place struct {
 	engine  string
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -124,12 +124,13 @@
 	Taken  float64 `json:"t"` // places, by estimate
 }
 
-// Order asks a target daemon to order its engine.
+// Order asks a daemon to give an engine an order.
 type Order struct {
-	ID    int64           `json:"id"`
-	Order mapswitch.Order `json:"order"`
-	// Map is the whole layout by set and rank, as bytes of expert numbers; nil
-	// but for a prepare.
+	ID      int64           `json:"id"`
+	Service string          `json:"service"`
+	Engine  string          `json:"engine"`
+	Order   mapswitch.Order `json:"order"`
+	// Map is the whole layout by set and rank; nil but for a prepare.
 	Map [][][]int `json:"map,omitempty"`
 }
 
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -306,7 +306,7 @@
 	if !stale {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		result, err := a.config.Engine.Order(ctx, a.config.Self.Engine, o.Order, o.Map)
+		result, err := a.config.Engine.Order(ctx, o.Engine, o.Order, o.Map)
 		if err != nil {
 			a.config.Log.Debug().Err(err).Str("order", string(o.Order.Kind)).Msg("order has no answer; the leader repeats it")
 			return
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -32,9 +32,9 @@
 	repeatAfter = 60 * time.Millisecond
 	// copyRepeat is when a prepare is sent again; its copies take some tenths.
 	copyRepeat = 400 * time.Millisecond
-	// directAfter is when an order goes straight to the engine, past its silent
-	// daemon.
-	directAfter = 150 * time.Millisecond
+	// directAfter is when an order goes straight to the engine, past silent
+	// daemons.
+	directAfter = 200 * time.Millisecond
 	// prepareTime bounds the copies of one switch.
 	prepareTime = 2500 * time.Millisecond
 	// holdTime bounds how long the group may wait for all ranks to be armed.
@@ -538,30 +538,51 @@
 	l.orderID++
 	s := sent{id: l.orderID, order: o, at: now, first: first}
 	l.orders[rank] = s
-	message := mesh.Order{ID: s.id, Order: o}
+	message := mesh.Order{ID: s.id, Service: l.config.Service, Engine: state.rank.Engine, Order: o}
 	if o.Kind == mapswitch.Prepare {
 		message.Map = l.layouts
 	}
-	own := state.host == l.config.Self.Name
-	if own || state.far || now.Sub(first) > directAfter {
-		go l.direct(rank, s.id, state.rank.Engine, message)
+	to := l.giver(state, o.Kind, s.id)
+	if to == "" || now.Sub(first) > directAfter {
+		go l.direct(rank, message)
 	}
-	if !own {
-		l.config.Mesh.Send(state.host, mesh.Message{Order: &message})
+	if to != "" {
+		l.config.Mesh.Send(to, mesh.Message{Order: &message})
 	}
 }
 
+// giver chooses the daemon that gives an order, or none for the leader itself.
+// While a pass is held, no host orders its own engine: if it froze then, nobody
+// could tell or undo what it had ordered, since the engine beside it is out of
+// reach too. Entries have no engine beside them.
+func (l *leader) giver(state rankState, kind mapswitch.Kind, id int64) string {
+	if kind == mapswitch.Prepare {
+		if state.far || state.host == l.config.Self.Name {
+			return ""
+		}
+		return state.host
+	}
+	entries := l.config.Mesh.Alive(mesh.Entry)
+	if len(entries) == 0 {
+		return ""
+	}
+	return entries[(int(id)/l.size())%len(entries)].Name
+}
+
+// size is the number of ranks, at least one.
+func (l *leader) size() int { return max(len(l.ranks), 1) }
+
 // direct gives an order to an engine itself: its own, or one whose daemon is
 // silent.
-func (l *leader) direct(rank int, id int64, engine string, o mesh.Order) {
+func (l *leader) direct(rank int, o mesh.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	result, err := l.config.Engine.Order(ctx, engine, o.Order, o.Map)
+	result, err := l.config.Engine.Order(ctx, o.Engine, o.Order, o.Map)
 	if err != nil {
 		l.log.Debug().Err(err).Int("rank", rank).Str("order", string(o.Order.Kind)).Msg("order has no answer; it is given again")
 		return
 	}
-	l.ordered(mesh.Ordered{ID: id, Result: result})
+	l.ordered(mesh.Ordered{ID: o.ID, Result: result})
 }
 
 // ordered takes the answer to an order.
