Large groups: compact layouts by relay, turns for choices, patience by size

Cause: at 63 ranks the leader sent 10 kB of layout to each rank over an 8 Mbit/s link (0.6 s), and 63 ranks sent it 4 kB of choices ten times a second. Its word that it leads came late, twenty ranks claimed the lead at once, and each began anew. Ruled out: the planner alone (70 ms, now 10 to 25 ms without maps in its inner loop). Change: layouts and choices as bytes, one byte a count with a shared scale; prepares go by way of one rank in eight; ranks take turns; silence and spread of claims grow with size.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -162,7 +162,7 @@
 // by the leader.
 func (f *Front) order(from mesh.Host, o mesh.Order) {
 	if f.places.Fenced(o.Service, o.Order.Fence) {
-		f.mesh.Send(from.Name, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: mapswitch.Fenced}})
+		f.mesh.Send(o.Leader, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: mapswitch.Fenced}})
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -173,7 +173,7 @@
 			Int64("fence", int64(o.Order.Fence)).Msg("order has no answer")
 		return
 	}
-	f.mesh.Send(from.Name, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: result}})
+	f.mesh.Send(o.Leader, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: result}})
 }
 
 func (f *Front) shareStrike(s quarantine.Strike) {
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -106,7 +106,7 @@
 	Active   int             `json:"active"`
 	Pace     float64         `json:"pace"`              // over 1 is slow
 	Held     [][]int         `json:"held"`              // experts by set
-	Choices  []byte          `json:"choices,omitempty"` // varints: choices since the last, by set and expert
+	Choices  []byte          `json:"choices,omitempty"` // of one interval: see EncodeChoices
 	Sequence int64           `json:"sequence"`          // of the choices
 	Fence    mapswitch.Fence `json:"fence"`
 }
@@ -129,18 +129,27 @@
 // Order asks a daemon to give an engine an order.
 type Order struct {
 	ID      int64           `json:"id"`
+	Leader  string          `json:"leader"` // host that waits for the answer
 	Service string          `json:"service"`
 	Engine  string          `json:"engine"`
 	Order   mapswitch.Order `json:"order"`
-	// Map is the whole layout by set and rank; nil but for a prepare.
-	Map [][][]int `json:"map,omitempty"`
+	// Layout is the whole map of a prepare: see EncodeLayout.
+	Layout []byte `json:"layout,omitempty"`
+	// Relay names further ranks that the receiver passes a prepare on to.
+	Relay []RelayTo `json:"relay,omitempty"`
+}
+
+// RelayTo is a daemon that an order goes on to, with its own engine and number.
+type RelayTo struct {
+	Host   string `json:"host"`
+	Engine string `json:"engine"`
+	ID     int64  `json:"id"`
 }
 
 // Ordered answers an Order.
 type Ordered struct {
 	ID     int64            `json:"id"`
 	Result mapswitch.Result `json:"result"`
-	Rank   *Rank            `json:"rank,omitempty"`
 }
 
 // Strike tells that a request killed a target.
--- a/parts/placement/balance.go
+++ b/parts/placement/balance.go
@@ -33,12 +33,17 @@
 	holders [][]int // ranks by expert
 	loads   []float64
 	fetched [][]int // new experts by rank
+	// deltas, seen and touched are the scratch of value.
+	deltas  []float64
+	seen    []bool
+	touched []int
 }
 
 func newBalancer(p Problem, current Layout, c BalanceConfig) *balancer {
 	b := &balancer{
 		problem: p, config: c, held: make(Layout, p.Ranks), counts: replicas(current, len(p.Loads)),
 		holders: make([][]int, len(p.Loads)), loads: make([]float64, p.Ranks), fetched: make([][]int, p.Ranks),
+		deltas: make([]float64, p.Ranks), seen: make([]bool, p.Ranks),
 	}
 	for rank := range b.held {
 		if rank >= len(current) {
@@ -128,17 +133,27 @@
 
 // value is by how much the change lowers the sum of squared times.
 func (b *balancer) value(c change) float64 {
-	delta := map[int]float64{}
-	b.delta(c, func(rank int, d float64) { delta[rank] += d })
+	b.touched = b.touched[:0]
+	b.delta(c, b.touch)
 	value := 0.0
-	for rank, d := range delta {
+	for _, rank := range b.touched {
 		old := b.time(rank)
-		now := (b.loads[rank] + d) / b.problem.speed(rank)
+		now := (b.loads[rank] + b.deltas[rank]) / b.problem.speed(rank)
 		value += old*old - now*now
+		b.deltas[rank] = 0
+		b.seen[rank] = false
 	}
 	return value
 }
 
+func (b *balancer) touch(rank int, d float64) {
+	if !b.seen[rank] {
+		b.seen[rank] = true
+		b.touched = append(b.touched, rank)
+	}
+	b.deltas[rank] += d
+}
+
 // delta tells by how much the loads of ranks change.
 func (b *balancer) delta(c change, tell func(rank int, d float64)) {
 	if c.evict >= 0 {
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,9 +19,19 @@
 	readEvery = 100 * time.Millisecond
 	// leadSilence is how long a leader may be silent before another takes over:
 	// some lost beats, well under the second in which a held pass must resolve.
-	leadSilence = 500 * time.Millisecond
-	// claimSpread spreads the claims of ranks that miss the leader at once.
-	claimSpread = 300 * time.Millisecond
+	// A large group's leader has more to send: leadSilenceRank more for each rank.
+	leadSilence     = 500 * time.Millisecond
+	leadSilenceRank = 5 * time.Millisecond
+	// claimSpread, for each rank up to maxClaimRanks, spreads the claims of ranks
+	// that miss the leader at once.
+	claimSpread   = 30 * time.Millisecond
+	maxClaimRanks = 30
+	// largeGroup is the size from which on ranks take turns in telling their
+	// choices, about as many at a time, and report only every few reads: all
+	// of them at once would fill the leader's link.
+	largeGroup = 16
+	// reportTurns is every how manieth read a rank of a large group reports.
+	reportTurns = 2
 	// readTimeout bounds a read of the own engine.
 	readTimeout = 300 * time.Millisecond
 	// orderTimeout is how long an engine may take to answer an order.
@@ -62,15 +71,18 @@
 	patience time.Duration // until the next claim
 	leading  *leader
 	readable bool
+	told     mapswitch.View // last reported
 }
 
 // New returns an agent that knows nothing yet.
 func New(c Config) *Agent {
-	return &Agent{config: c, leadAt: c.Now(), patience: leadSilence + spread(), readable: true}
+	return &Agent{config: c, leadAt: c.Now(), patience: patience(0), readable: true}
 }
 
-func spread() time.Duration {
-	return time.Duration(rand.Int64N(int64(claimSpread)))
+// patience is for how long a rank of a group of a size waits for its leader.
+func patience(size int) time.Duration {
+	spread := claimSpread * time.Duration(min(max(size, 10), maxClaimRanks))
+	return leadSilence + leadSilenceRank*time.Duration(size) + time.Duration(rand.Int64N(int64(spread)))
 }
 
 // Run reads the engine and leads while it has to, until the context ends.
@@ -169,29 +181,13 @@
 	a.rank = mesh.Rank{
 		Service: a.config.Service, Engine: a.config.Self.Engine, Group: r.Group, Rank: r.Rank, Size: r.Size, Open: r.Open,
 		View: r.View, Queued: r.Queued, Active: r.Active, Pace: r.Pace, Held: held, Sequence: a.rank.Sequence + 1,
-		Choices: encodeChoices(a.counts, choices),
+		Choices: mesh.EncodeChoices(a.counts, choices),
 	}
 	if choices != nil {
 		a.counts = choices
 	}
 }
 
-// encodeChoices gives the choices since the last read as varints. A count that
-// went back belongs to an engine that started anew.
-func encodeChoices(before, now []int64) []byte {
-	if len(before) != len(now) {
-		return nil
-	}
-	out := make([]byte, 0, len(now))
-	for i := range now {
-		if now[i] < before[i] {
-			return nil
-		}
-		out = binary.AppendUvarint(out, uint64(now[i]-before[i]))
-	}
-	return out
-}
-
 // report tells the leader what was read.
 func (a *Agent) report() {
 	a.mu.Lock()
@@ -206,11 +202,34 @@
 		self.takeRank(a.config.Self.Name, r)
 		return
 	}
-	if leader != "" {
+	if leader != "" && a.myTurn(&r) {
 		a.config.Mesh.Send(leader, mesh.Message{Rank: &r})
 	}
 }
 
+// myTurn says whether a rank of a large group reports now, and leaves out the
+// choices when others tell theirs. What concerns a switch is always reported.
+func (a *Agent) myTurn(r *mesh.Rank) bool {
+	turns := int64(r.Size+largeGroup-1) / largeGroup
+	if turns <= 1 {
+		return true
+	}
+	turn := r.Sequence + int64(r.Rank)
+	if turn%turns != 0 {
+		r.Choices = nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := r.View
+	v.Pass = a.told.Pass // passes alone are no news
+	news := v != a.told || v.Held != mapswitch.NoPass || v.Armed != 0
+	if !news && r.Choices == nil && turn%reportTurns != 0 {
+		return false
+	}
+	a.told = r.View
+	return true
+}
+
 // maybeClaim takes the lead of the group when its leader has been silent.
 func (a *Agent) maybeClaim(ctx context.Context) {
 	a.mu.Lock()
@@ -228,7 +247,7 @@
 	fence, err := a.config.Store.Claim(ctx, group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.patience = leadSilence + spread()
+	a.patience = patience(a.rank.Size)
 	if err != nil {
 		a.config.Log.Warn().Err(err).Str("group", group).Msg("lead cannot be claimed; tried again")
 		a.leadAt = a.config.Now()
@@ -293,7 +312,7 @@
 		return
 	}
 	a.lead, a.leader, a.leadAt = lead, from.Name, a.config.Now()
-	a.patience = leadSilence + spread()
+	a.patience = patience(a.rank.Size)
 }
 
 // order gives the own engine an order of the leader, unless a higher fence is
@@ -306,7 +325,12 @@
 	if !stale {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		result, err := a.config.Engine.Order(ctx, o.Engine, o.Order, o.Map)
+		layout, err := a.passOn(o)
+		if err != nil {
+			a.config.Log.Warn().Err(err).Str("leader", from.Name).Msg("order is dropped")
+			return
+		}
+		result, err := a.config.Engine.Order(ctx, o.Engine, o.Order, layout)
 		if err != nil {
 			a.config.Log.Debug().Err(err).Str("order", string(o.Order.Kind)).Msg("order has no answer; the leader repeats it")
 			return
@@ -315,7 +339,20 @@
 		a.config.Log.Debug().Str("order", string(o.Order.Kind)).Int64("map", int64(o.Order.Version)).
 			Int64("pass", int64(o.Order.Pass)).Int64("fence", int64(o.Order.Fence)).Str("result", string(result)).Msg("order given to the engine")
 	}
-	a.config.Mesh.Send(from.Name, mesh.Message{Ordered: &answer})
+	a.config.Mesh.Send(o.Leader, mesh.Message{Ordered: &answer})
+}
+
+// passOn relays a prepare to further ranks, and reads its layout.
+func (a *Agent) passOn(o mesh.Order) ([][][]int, error) {
+	if len(o.Layout) == 0 {
+		return nil, nil
+	}
+	for _, to := range o.Relay {
+		next := o
+		next.ID, next.Engine, next.Relay = to.ID, to.Engine, nil
+		a.config.Mesh.Send(to.Host, mesh.Message{Order: &next})
+	}
+	return mesh.DecodeLayout(o.Layout)
 }
 
 // Leads says whether this daemon leads its group.
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,8 +19,13 @@
 )
 
 const (
-	// leadEvery is how often a leader says that it leads, a third of leadSilence.
-	leadEvery = 150 * time.Millisecond
+	// leadEvery is how often a leader says that it leads, a third of leadSilence,
+	// and leadEveryRank how much less often for each rank.
+	leadEvery     = 150 * time.Millisecond
+	leadEveryRank = 2 * time.Millisecond
+	// relayRanks is how many ranks get a prepare from one other rank; the leader's
+	// link would take too long for a large group.
+	relayRanks = 8
 	// rankAge is how old the word of a rank may be for a decision that needs all.
 	rankAge = 600 * time.Millisecond
 	// farAfter is how long a rank's daemon may be silent before the leader reads
@@ -80,6 +84,7 @@
 
 	current  *mapswitch.Switch
 	layouts  [][][]int // of the current switch, by set and rank
+	encoded  []byte
 	phaseAt  time.Time
 	phase    mapswitch.Phase
 	orders   map[int]sent
@@ -134,7 +139,7 @@
 
 // tell says to all daemons who leads.
 func (l *leader) tell(now time.Time) {
-	if now.Sub(l.told) < leadEvery {
+	if now.Sub(l.told) < leadEvery+leadEveryRank*time.Duration(len(l.ranks)) {
 		return
 	}
 	l.told = now
@@ -241,13 +246,10 @@
 			l.gathered[s] = make([]float64, l.shape.Experts)
 		}
 	}
-	for i := 0; len(choices) > 0; i++ {
-		n, size := binary.Uvarint(choices)
-		if size <= 0 || i/l.shape.Experts >= l.shape.Sets {
-			return
+	for i, n := range mesh.DecodeChoices(choices) {
+		if i/l.shape.Experts < l.shape.Sets {
+			l.gathered[i/l.shape.Experts][i%l.shape.Experts] += n
 		}
-		l.gathered[i/l.shape.Experts][i%l.shape.Experts] += float64(n)
-		choices = choices[size:]
 	}
 }
 
@@ -441,6 +443,7 @@
 	for s := range next {
 		l.layouts[s] = next[s]
 	}
+	l.encoded = mesh.EncodeLayout(l.layouts)
 	l.plannedS = after
 	l.log.Info().Float64("skew", before).Float64("skew_planned", after).Int("copies", added).Int64("map", int64(version+1)).
 		Dur("took", time.Since(began)).Msg("switch of the expert map begins")
@@ -503,8 +506,35 @@
 		l.current = nil
 		return
 	}
-	for rank, o := range l.current.Orders() {
-		l.give(now, rank, o)
+	l.giveAll(now, l.current.Orders())
+}
+
+// giveAll gives the orders that are due. Prepares of a large group go by way of
+// some of its ranks.
+func (l *leader) giveAll(now time.Time, orders map[int]mapswitch.Order) {
+	var relayed []mesh.Order
+	for _, rank := range sortedRanks(l.ranks) {
+		o, ok := orders[rank]
+		if !ok {
+			continue
+		}
+		if to, m := l.give(now, rank, o); to != "" && o.Kind == mapswitch.Prepare && len(l.ranks) > largeGroup {
+			m.Relay = []mesh.RelayTo{{Host: to}}
+			relayed = append(relayed, m)
+		} else if to != "" {
+			l.config.Mesh.Send(to, mesh.Message{Order: &m})
+		}
+	}
+	for len(relayed) > 0 {
+		n := min(len(relayed), relayRanks)
+		first := relayed[0]
+		to := first.Relay[0].Host
+		first.Relay = nil
+		for _, m := range relayed[1:n] {
+			first.Relay = append(first.Relay, mesh.RelayTo{Host: m.Relay[0].Host, Engine: m.Engine, ID: m.ID})
+		}
+		l.config.Mesh.Send(to, mesh.Message{Order: &first})
+		relayed = relayed[n:]
 	}
 }
 
@@ -519,14 +549,16 @@
 	return false
 }
 
-func (l *leader) give(now time.Time, rank int, o mapswitch.Order) {
+// give notes an order that is due and returns the message and the host that gets
+// it, or no host.
+func (l *leader) give(now time.Time, rank int, o mapswitch.Order) (string, mesh.Order) {
 	last, known := l.orders[rank]
 	again := repeatAfter
 	if o.Kind == mapswitch.Prepare {
 		again = copyRepeat
 	}
 	if known && last.order == o && (last.accepted || now.Sub(last.at) < again) {
-		return
+		return "", mesh.Order{}
 	}
 	first := now
 	if known && last.order == o {
@@ -534,22 +566,20 @@
 	}
 	state, ok := l.ranks[rank]
 	if !ok {
-		return
+		return "", mesh.Order{}
 	}
 	l.orderID++
 	s := sent{id: l.orderID, order: o, at: now, first: first}
 	l.orders[rank] = s
-	message := mesh.Order{ID: s.id, Service: l.config.Service, Engine: state.rank.Engine, Order: o}
-	if o.Kind == mapswitch.Prepare {
-		message.Map = l.layouts
-	}
+	message := mesh.Order{ID: s.id, Leader: l.config.Self.Name, Service: l.config.Service, Engine: state.rank.Engine, Order: o}
 	to := l.giver(state, o.Kind, s.id)
 	if to == "" || now.Sub(first) > directAfter {
-		go l.direct(rank, message)
+		go l.direct(rank, message, l.layouts)
 	}
-	if to != "" {
-		l.config.Mesh.Send(to, mesh.Message{Order: &message})
+	if o.Kind == mapswitch.Prepare {
+		message.Layout = l.encoded
 	}
+	return to, message
 }
 
 // giver chooses the daemon that gives an order, or none for the leader itself.
@@ -575,10 +605,10 @@
 
 // direct gives an order to an engine itself: its own, or one whose daemon is
 // silent.
-func (l *leader) direct(rank int, o mesh.Order) {
+func (l *leader) direct(rank int, o mesh.Order, layout [][][]int) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	result, err := l.config.Engine.Order(ctx, o.Engine, o.Order, o.Map)
+	result, err := l.config.Engine.Order(ctx, o.Engine, o.Order, layout)
 	if err != nil {
 		l.log.Debug().Err(err).Int("rank", rank).Str("order", string(o.Order.Kind)).Msg("order has no answer; it is given again")
 		return
