Store calls: shape read only to claim; bulletins say what was read

Every target daemon asked for the published shape ten times a second until there was one; each newer configuration made every entry read the targets too. Change: the shape is read with the claim; a bulletin says whether the targets were read; news of newer routes spreads the reads over 250 ms and leaves the proof of the old ones.

--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -26,6 +26,9 @@
 	readSpread = 250 * time.Millisecond
 	// readTimeout bounds one read of the store, which takes some milliseconds.
 	readTimeout = 700 * time.Millisecond
+	// behindSpread spreads the reads of entries that hear of newer routes, and
+	// lets one read serve versions that follow each other quickly.
+	behindSpread = 250 * time.Millisecond
 	// retryAfter is the pause after a failed read.
 	retryAfter = 200 * time.Millisecond
 	// returnGrace is how long targets whose entries lapsed while the store was
@@ -87,6 +90,8 @@
 	failed    time.Time // last failed read
 	reachable bool
 	behind    bool // a peer knows newer configuration
+	// targetsDue is when the targets should be read anew.
+	targetsDue time.Time
 }
 
 // New returns an empty board.
@@ -191,6 +196,8 @@
 	defer cancel()
 	b.mu.Lock()
 	tableAt, targetsAt, listed := b.tableAt, b.targetsAt, b.listed
+	// A peer's word of newer routes is no reason to read the targets as well.
+	onlyTable := b.behind && listed && b.config.Now().Before(b.targetsDue)
 	b.postpone(readAge)
 	b.mu.Unlock()
 	asOf := b.config.Clock()
@@ -203,14 +210,17 @@
 		b.noteFailure(err)
 		return
 	}
-	records, err := b.readTargets(ctx, targetsAt, listed)
+	records := Records{End: targetsAt}
+	if !onlyTable {
+		records, err = b.readTargets(ctx, targetsAt, listed)
+	}
 	if err != nil {
 		b.noteFailure(err)
 		records = Records{End: targetsAt}
 	} else {
 		b.noteReachable()
 	}
-	b.tell(end, targetsAt, records, beats)
+	b.tell(end, targetsAt, records, !onlyTable && err == nil, beats)
 }
 
 func (b *Board) readTargets(ctx context.Context, from int64, listed bool) (Records, error) {
@@ -261,8 +271,8 @@
 
 // tell passes on what was read. A peer may count it from its own beat that had
 // arrived before the read.
-func (b *Board) tell(configuration, from int64, records Records, beats map[string]freshness.Instant) {
-	told := mesh.Bulletin{Configuration: configuration, From: from, End: records.End, Targets: records.Raw}
+func (b *Board) tell(configuration, from int64, records Records, read bool, beats map[string]freshness.Instant) {
+	told := mesh.Bulletin{Configuration: configuration, From: from, End: records.End, Targets: records.Raw, Read: read}
 	size := 0
 	for _, raw := range records.Raw {
 		size += len(raw)
@@ -282,20 +292,20 @@
 	b.mu.Lock()
 	tableAt := b.tableAt
 	if m.Configuration > tableAt {
-		b.readDue = b.config.Now().Add(time.Duration(rand.Int64N(int64(tick))))
 		if !b.behind {
+			b.readDue = b.config.Now().Add(time.Duration(rand.Int64N(int64(behindSpread))))
 			b.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("a peer knows newer routes; they are read")
 		}
 		b.behind = true
 	}
-	if m.After > 0 {
-		b.proof = b.proof.With(m.Configuration, m.After)
+	if m.After > 0 && m.Configuration <= tableAt {
+		b.proof = b.proof.With(m.Configuration, m.After) // else the old proof grows old
 	}
 	if !b.listed || m.From > b.targetsAt {
 		b.mu.Unlock()
 		return
 	}
-	if m.Configuration <= tableAt && m.After > 0 {
+	if m.Configuration <= tableAt && m.After > 0 && m.Read && m.End >= b.targetsAt {
 		b.postpone(readAge)
 	}
 	b.mu.Unlock()
@@ -327,6 +337,7 @@
 	}
 	fresh := r.Raw[min(int(b.targetsAt-from), len(r.Raw)):]
 	b.targetsAt = from + int64(len(r.Raw))
+	b.targetsDue = b.config.Now().Add(readAge)
 	next := b.targets
 	for _, raw := range fresh {
 		next = b.fold(next, raw)
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -58,6 +58,8 @@
 	// After is the receiver's own clock from a beat that had arrived before the
 	// read was sent; 0 when there was none.
 	After freshness.Instant `json:"after,omitempty"`
+	// Read says that the registry was read, not only the configuration.
+	Read bool `json:"read,omitempty"`
 	// Targets are the registry's records from offset From to End.
 	From    int64    `json:"from"`
 	End     int64    `json:"end"`
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -59,7 +59,6 @@
 	config Config
 
 	mu       sync.Mutex
-	shape    *routes.Engine
 	rank     mesh.Rank // newest of the own engine
 	known    bool
 	layoutAt time.Time
@@ -90,7 +89,6 @@
 	ticker := time.NewTicker(readEvery)
 	defer ticker.Stop()
 	for {
-		a.learnShape(ctx)
 		a.read(ctx)
 		a.report()
 		a.maybeClaim(ctx)
@@ -103,23 +101,6 @@
 	}
 }
 
-func (a *Agent) learnShape(ctx context.Context) {
-	a.mu.Lock()
-	known := a.shape != nil
-	a.mu.Unlock()
-	if known {
-		return
-	}
-	shape, err := a.config.Store.Shape(ctx)
-	if err != nil {
-		a.config.Log.Debug().Err(err).Msg("shape of the engine's service is not known yet; it is asked for again")
-		return
-	}
-	a.mu.Lock()
-	a.shape = &shape
-	a.mu.Unlock()
-}
-
 // read reads the own engine.
 func (a *Agent) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -235,8 +216,7 @@
 	a.mu.Lock()
 	group, open := a.rank.Group, a.known
 	silent := a.config.Now().Sub(a.leadAt)
-	due := open && group != "" && a.leading == nil && a.shape != nil && silent > a.patience
-	shape := a.shape
+	due := open && group != "" && a.leading == nil && silent > a.patience
 	old := a.lead
 	a.mu.Unlock()
 	if !due {
@@ -244,7 +224,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	fence, err := a.config.Store.Claim(ctx, group)
+	shape, fence, err := a.claim(ctx, group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.patience = patience(a.rank.Size)
@@ -259,11 +239,22 @@
 	}
 	a.lead = mesh.Lead{Service: a.config.Service, Group: group, Fence: fence}
 	a.leader = a.config.Self.Name
-	a.leading = newLeader(a.config, group, fence, *shape, old.Fence > 0)
+	a.leading = newLeader(a.config, group, fence, shape)
 	a.config.Log.Info().Str("group", group).Int64("fence", int64(fence)).Dur("silent", silent).
 		Int64("old_fence", int64(old.Fence)).Msg("leads the group now")
 }
 
+// claim learns what the group looks like, which only its leader needs, and
+// claims the lead.
+func (a *Agent) claim(ctx context.Context, group string) (routes.Engine, mapswitch.Fence, error) {
+	shape, err := a.config.Store.Shape(ctx)
+	if err != nil {
+		return routes.Engine{}, 0, err
+	}
+	fence, err := a.config.Store.Claim(ctx, group)
+	return shape, fence, err
+}
+
 // advance lets the leader do what is due.
 func (a *Agent) advance() {
 	a.mu.Lock()
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -107,7 +105,7 @@
 	accepted bool
 }
 
-func newLeader(c Config, group string, fence mapswitch.Fence, shape routes.Engine, takeover bool) *leader {
+func newLeader(c Config, group string, fence mapswitch.Fence, shape routes.Engine) *leader {
 	return &leader{
 		config: c, group: group, shape: shape, fence: fence, next: fence, ranks: map[int]rankState{}, placer: rankload.New(),
 		askers: map[string]string{}, orders: map[int]sent{}, farRead: map[string]time.Time{}, began: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
@@ -648,13 +646,3 @@
 	const switchesAClaim = 1_000_000 // years of one a second would not exceed it in days of service
 	return mapswitch.Fence((n + 1) * switchesAClaim)
 }
-
-// GroupTopic names the stream of a group's claims.
-func GroupTopic(group string) string {
-	return "leaders." + strings.Map(func(r rune) rune {
-		if r == '.' || r == '/' || r == ' ' {
-			return '-'
-		}
-		return r
-	}, strconv.Quote(group)[1:len(group)+1])
-}
