--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -21,9 +21,11 @@
 const (
 	// readAge is how old a view may grow before it is read anew: a leaving
 	// target must be known within 2 s, by way of another entry.
-	readAge = 550 * time.Millisecond
-	// readSpread keeps entries from reading at the same moment.
-	readSpread = 250 * time.Millisecond
+	readAge = 700 * time.Millisecond
+	// readSpread, for each entry up to maxReadSpread, keeps entries from reading
+	// at the same moment: the first one's bulletin must reach the others first.
+	readSpread    = 30 * time.Millisecond
+	maxReadSpread = time.Second
 	// readTimeout bounds one read of the store, which takes some milliseconds.
 	readTimeout = 700 * time.Millisecond
 	// behindSpread spreads the reads of entries that hear of newer routes, and
@@ -168,7 +170,8 @@
 
 // postpone sets the next read; jitter lets mostly one entry be first.
 func (b *Board) postpone(after time.Duration) {
-	b.readDue = b.config.Now().Add(after + time.Duration(rand.Int64N(int64(readSpread))))
+	spread := min(readSpread*time.Duration(1+len(b.config.Mesh.Known(mesh.Entry))), maxReadSpread)
+	b.readDue = b.config.Now().Add(after + time.Duration(rand.Int64N(int64(spread))))
 }
 
 // expire drops the targets that have not come back.
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -46,7 +46,7 @@
 	ahead mapswitch.Pass = 3
 	// worthwhile is by how much a switch must lower the skew, below which copies
 	// slow passes more than they help.
-	worthwhile = 0.1
+	worthwhile = 0.15
 	// arrivalTime bounds the wait for the held pass after a switch.
 	arrivalTime = time.Second
 	// fencesASwitch: one to lead it, one to undo it.
