--- /dev/null
+++ b/standin/rack/store.go
@@ -0,0 +1,141 @@
+// Package rack is a small stand-in of the users' platform: its store, a lock-step
+// group of engines and plain services, by the pages that describe their wire.
+package rack
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Store is the platform's log with keyed streams. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	streams map[string]*stream
+}
+
+type stream struct {
+	records [][]byte
+	newest  map[string]keyedRecord
+}
+
+type keyedRecord struct {
+	value  []byte
+	offset int64
+}
+
+const keyedPrefix = "keyed."
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{streams: map[string]*stream{}} }
+
+func (s *Store) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = &stream{newest: map[string]keyedRecord{}}
+		s.streams[name] = st
+	}
+	return st
+}
+
+// Put writes the newest record of a key; a nil value drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(topic, append(append([]byte{byte(len(key))}, key...), value...))
+}
+
+func (s *Store) append(topic string, record []byte) int64 {
+	st := s.stream(topic)
+	offset := int64(len(st.records))
+	st.records = append(st.records, slices.Clone(record))
+	if strings.HasPrefix(topic, keyedPrefix) && len(record) > 0 && int(record[0]) < len(record) {
+		n := 1 + int(record[0])
+		key := string(record[1:n])
+		if len(record) > n {
+			st.newest[key] = keyedRecord{value: slices.Clone(record[n:]), offset: offset}
+		} else {
+			delete(st.newest, key)
+		}
+	}
+	return offset
+}
+
+// Routes serves the store.
+func (s *Store) Routes(r chi.Router) {
+	r.Post("/api/log-append", s.handleAppend)
+	r.Get("/api/log-read", s.handleRead)
+	r.Get("/api/log-newest", s.handleNewest)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // a reader who has gone needs no answer
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	topic := r.URL.Query().Get("topic")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := int64(-1)
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > len(body)-4 {
+			http.Error(w, "record cut off", http.StatusBadRequest)
+			return
+		}
+		offset := s.append(topic, body[4:4+n])
+		if first < 0 {
+			first = offset
+		}
+		body = body[4+n:]
+	}
+	writeJSON(w, map[string]int64{"offset": first, "end": int64(len(s.stream(topic).records))})
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil || from < 0 {
+		http.Error(w, "from is no offset", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(r.URL.Query().Get("topic"))
+	out := binary.BigEndian.AppendUint64(nil, uint64(len(st.records)))
+	out = binary.BigEndian.AppendUint64(out, 0)
+	for _, record := range st.records[min(from, int64(len(st.records))):] {
+		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
+		out = append(out, record...)
+	}
+	_, _ = w.Write(out) // a reader who has gone needs no answer
+}
+
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(r.URL.Query().Get("topic"))
+	items := []item{}
+	for key, k := range st.newest {
+		items = append(items, item{key, k.value, k.offset})
+	}
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	writeJSON(w, map[string]any{"items": items, "more": false, "end": len(st.records)})
+}
