millload soak: the platform's daemons as processes under random faults

Change: soak starts entries and target daemons against standin/rack, with proxies before the store and plain targets, signals, reloads, a store that is down, slow or loses answers, late orders, drifts of demand and removed keys; callers and targets check the promises.

--- a/millload/command/command.go
+++ b/millload/command/command.go
@@ -22,7 +22,7 @@
 	root := &cli.Command{
 		Name:     "millload",
 		Usage:    "replay traces of callers and run experiments",
-		Commands: []*cli.Command{traceVerb(), replayVerb(), experimentVerb(), overheadVerb(), commandline.VersionVerb("millload")},
+		Commands: []*cli.Command{traceVerb(), replayVerb(), experimentVerb(), overheadVerb(), soakVerb(), commandline.VersionVerb("millload")},
 	}
 	return commandline.Run(ctx, root, args, os.Stderr)
 }
--- /dev/null
+++ b/millload/command/soak_verb.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"camphormill.dev/millload/soak"
+	"camphormill.dev/parts/commandline"
+)
+
+func soakVerb() *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "program", Value: "bin/platform", Usage: "run the daemons of `FILE`"},
+		&cli.StringFlag{Name: "work", Usage: "keep settings and logs in `FOLDER`; a new one when empty"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "draw faults from `N`"},
+		&cli.IntFlag{Name: "seeds", Value: 1, Usage: "play `COUNT` seeds, one after the other"},
+		&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "inject faults for `TIME`"},
+		&cli.IntFlag{Name: "entries", Value: 4, Usage: "run `COUNT` entry daemons"},
+		&cli.IntFlag{Name: "targets", Value: 4, Usage: "run `COUNT` target daemons"},
+		&cli.IntFlag{Name: "services", Value: 3, Usage: "run `COUNT` plain targets"},
+		&cli.IntFlag{Name: "callers", Value: 16, Usage: "run `COUNT` callers"},
+		&cli.IntFlag{Name: "net", Value: 77, Usage: "use the addresses 127.`N`.0.x"},
+	}
+	return &cli.Command{Name: "soak", Usage: "run the daemons under random faults and check the promises", Flags: flags, Action: soakRun}
+}
+
+func soakRun(ctx context.Context, c *cli.Command) error {
+	failed := 0
+	for n := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(n)
+		work := c.String("work")
+		if work == "" {
+			var err error
+			if work, err = os.MkdirTemp("", "soak-"); err != nil {
+				return commandline.Exit(commandline.ExitFailed, err)
+			}
+		}
+		work = filepath.Join(work, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(work, 0o700); err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+		report, err := soak.Run(ctx, soak.Config{
+			Program: c.String("program"), Work: work, Seed: seed, For: c.Duration("for"), Entries: c.Int("entries"),
+			Targets: c.Int("targets"), Services: c.Int("services"), Callers: c.Int("callers"), Net: c.Int("net"),
+		})
+		if err != nil {
+			return commandline.Exit(commandline.ExitFailed, err)
+		}
+		fmt.Fprintf(c.Root().Writer, "seed %d: %d faults, %d asked, %d served, %d refused, %d failed, %d switches, %.2f served after recovery, %d promises broken\n",
+			seed, len(report.Faults), report.Asked, report.Served, report.Refused, report.Failed, report.Switches, report.Recovered, len(report.Broken))
+		if len(report.Broken) == 0 {
+			continue
+		}
+		failed++
+		for _, line := range append(report.Faults, report.Broken...) {
+			fmt.Fprintln(c.Root().Writer, "  "+line)
+		}
+		fmt.Fprintln(c.Root().Writer, "  logs are in "+work)
+	}
+	if failed > 0 {
+		return commandline.Exit(commandline.ExitFailed, errors.Errorf("%d seeds broke a promise; their logs are kept", failed))
+	}
+	return nil
+}
--- /dev/null
+++ b/millload/soak/fleet.go
@@ -0,0 +1,265 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"camphormill.dev/standin/faults"
+	"camphormill.dev/standin/rack"
+)
+
+const (
+	meshPort     = 7340
+	callersPort  = 8227
+	readyPort    = 8220
+	namesPort    = 8224
+	metricsPort  = 9464
+	enginePort   = 8228
+	storePort    = 8223
+	keyBound     = 5 * time.Second
+	stopWithin   = 8 * time.Second
+	addressTTL   = 5
+	soakMemoryMB = 200
+)
+
+// host is one daemon as a process.
+type host struct {
+	name, ip, role string
+	store          *proxy // its own path to the store
+	settings       string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// fleet is the stand-ins and the daemons.
+type fleet struct {
+	config   Config
+	net      string // first three parts of the addresses
+	store    *rack.Store
+	switches *faults.Switches
+	book     *rack.Book
+	group    *rack.Group
+	hosts    []*host
+	targets  []*proxy // paths to engines and services
+	servers  []*http.Server
+	version  int64
+	routes   int
+	keys     []string
+
+	mu sync.Mutex
+}
+
+func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s.%d:%d", f.net, host, port) }
+
+// listen serves a stand-in.
+func (f *fleet) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "soak: cannot listen on %s; end the run that uses it", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
+	return nil
+}
+
+func router(routes func(r chi.Router)) http.Handler {
+	r := chi.NewRouter()
+	routes(r)
+	return r
+}
+
+// startStandins serves the store, the engines and the plain services. Entries
+// reach targets by way of proxies, target daemons reach their engine directly.
+func (f *fleet) startStandins() error {
+	if err := f.listen(f.address(200, storePort), f.switches.Wrap(router(f.store.Routes))); err != nil {
+		return err
+	}
+	for rank := range f.config.Targets {
+		if err := f.listen(f.address(100+rank, enginePort), router(f.group.Routes(rank))); err != nil {
+			return err
+		}
+		if err := f.target(fmt.Sprintf("i-%d", rank), "draft", 100+rank, enginePort); err != nil {
+			return err
+		}
+	}
+	for i := range f.config.Services {
+		id := fmt.Sprintf("r-%d", i)
+		if err := f.listen(f.address(150+i, enginePort), router(f.book.Service(id, 10*time.Millisecond))); err != nil {
+			return err
+		}
+		if err := f.target(id, "roster", 150+i, enginePort); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// target registers a target under a proxied address. The engines' own address is
+// what leaders and their target daemons know, so drafts go there directly.
+func (f *fleet) target(id, service string, host, port int) error {
+	address := f.address(host, port)
+	if service == "roster" {
+		p, err := newProxy(f.address(host, port+1), address)
+		if err != nil {
+			return err
+		}
+		f.targets = append(f.targets, p)
+		address = f.address(host, port+1)
+	}
+	entry, err := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 12, "state": "ready", "seq": 1,
+		"born": time.Now().UnixMilli(),
+	})
+	if err != nil {
+		return err
+	}
+	f.store.Put("keyed.servers", id, entry)
+	return nil
+}
+
+// publish writes a configuration and returns its version. With the last key
+// removed, the organisation keeps the others.
+func (f *fleet) publish() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += 3
+	routes := []map[string]any{
+		{"name": "drafts", "host": "h", "pathPrefix": "/drafts/", "kind": "stream", "timeoutMs": 6000, "goalMs": 400, "service": "draft", "maxAttempts": 2, "resumable": true},
+		{"name": "calls", "host": "h", "pathPrefix": "/calls/", "kind": "non_idempotent", "timeoutMs": 1500, "goalMs": 100, "service": "roster", "maxAttempts": 2},
+		{"name": "reads", "host": "h", "pathPrefix": "/reads/", "kind": "idempotent", "timeoutMs": 1500, "goalMs": 100, "service": "roster", "maxAttempts": 2},
+	}
+	for i := range f.routes {
+		routes = append(routes, map[string]any{"name": fmt.Sprint("x", i), "host": "h", "pathPrefix": fmt.Sprintf("/x%d/", i), "kind": "idempotent", "service": "roster"})
+	}
+	engine := map[string]any{"slots": 8, "sets": 2, "experts": 24, "placements": 10, "spare": 3, "step_ms": 5.0, "read_per_s": 60000.0}
+	raw, err := json.Marshal(map[string]any{
+		"version": f.version, "routes": routes,
+		"services": []map[string]any{{"name": "draft", "maxConns": 500, "engine": engine}, {"name": "roster", "maxConns": 200}},
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "clerks", "apiKeys": f.keys}},
+	})
+	if err != nil {
+		panic("soak: configuration cannot be encoded: " + err.Error()) // a mistake of this program
+	}
+	f.store.Put("keyed.op", "config", raw)
+	return f.version
+}
+
+// addHost prepares a daemon.
+func (f *fleet) addHost(role string, number int) error {
+	h := &host{name: fmt.Sprint(role, "-", number), role: role, ip: fmt.Sprintf("%s.%d", f.net, number)}
+	storeAt := fmt.Sprintf("%s:%d", h.ip, storePort)
+	var err error
+	if h.store, err = newProxy(storeAt, f.address(200, storePort)); err != nil {
+		return errors.Wrap(err, "soak: a path to the store cannot be opened")
+	}
+	settings := map[string]any{
+		"name": h.name, "zone": "z", "address": fmt.Sprintf("%s:%d", h.ip, meshPort), "metrics": fmt.Sprintf("%s:%d", h.ip, metricsPort),
+		"port": meshPort, "store": storeAt, "memory_mb": soakMemoryMB, "address_ttl_s": addressTTL, "key_bound_ms": keyBound.Milliseconds(),
+		"stop_within_s": stopWithin.Seconds(), "retry_share": 0.2, "retry_slack": 200, "seeds": []string{f.address(1, 1)},
+	}
+	if role == "entry" {
+		settings["callers"] = fmt.Sprintf("%s:%d", h.ip, callersPort)
+		settings["ready"] = fmt.Sprintf("%s:%d", h.ip, readyPort)
+		settings["directory"] = fmt.Sprintf("%s:%d", h.ip, namesPort)
+	} else {
+		settings["engine"] = fmt.Sprintf("%s:%d", h.ip, enginePort)
+		settings["service"] = "draft"
+	}
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	h.settings = filepath.Join(f.config.Work, h.name+".jsonc")
+	f.hosts = append(f.hosts, h)
+	return os.WriteFile(h.settings, raw, 0o600)
+}
+
+// start starts the daemon's process; its log goes on in one file.
+func (f *fleet) start(h *host) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(f.config.Work, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(f.config.Program, h.role, "--settings", h.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Wrapf(err, "soak: %s cannot be started; build it first", f.config.Program)
+	}
+	exited := make(chan struct{})
+	h.command, h.exited = command, exited
+	go func() {
+		_ = command.Wait() // a killed process is no error here
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that was started last, by its id.
+func (h *host) signal(s syscall.Signal) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command != nil && h.command.Process != nil {
+		_ = h.command.Process.Signal(s) // it may have ended by itself
+	}
+	return h.exited
+}
+
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGCONT)
+		exited := h.signal(syscall.SIGKILL)
+		if exited != nil {
+			<-exited
+		}
+		h.store.close()
+	}
+	for _, p := range f.targets {
+		p.close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
+// settled waits until every entry is ready.
+func (f *fleet) settled(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		ready := 0
+		for _, h := range f.hosts {
+			if h.role != "entry" {
+				continue
+			}
+			answer, err := http.Get(fmt.Sprintf("http://%s:%d/api/ready", h.ip, readyPort))
+			if err == nil {
+				_ = answer.Body.Close()
+				if answer.StatusCode == http.StatusOK {
+					ready++
+				}
+			}
+		}
+		if ready == f.config.Entries {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p bin
-go build -o bin/ ./camphormill ./entryd ./millload ./standin ./targetd
+go build -o bin/ ./camphormill ./entryd ./millload ./platform ./standin ./targetd
--- a/standin/rack/book.go
+++ b/standin/rack/book.go
@@ -14,12 +14,13 @@
 // is safe for concurrent use.
 type Book struct {
 	mu     sync.Mutex
-	runs   map[string]int // of requests that may run once
+	runs   map[string]int  // of requests that may run once
+	told   map[string]bool // callers were told that these did not run
 	broken []string
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{runs: map[string]int{}} }
+func NewBook() *Book { return &Book{runs: map[string]int{}, told: map[string]bool{}} }
 
 // begin answers a request that this target must not run, and checks its headers.
 func (b *Book) begin(w http.ResponseWriter, r *http.Request, target string) bool {
@@ -49,6 +50,9 @@
 	if b.runs[id] > 1 {
 		b.broken = append(b.broken, fmt.Sprintf("request %s ran %d times", id, b.runs[id]))
 	}
+	if b.told[id] {
+		b.broken = append(b.broken, fmt.Sprintf("request %s ran after its caller was told that it did not", id))
+	}
 }
 
 func (b *Book) breach(format string, args ...any) {
@@ -61,6 +65,7 @@
 func (b *Book) NotRun(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.told[id] = true
 	if b.runs[id] > 0 {
 		b.broken = append(b.broken, fmt.Sprintf("request %s ran, and its caller was told that it did not", id))
 	}
