Leader: layouts are evened out further while passes are long

Ruled out: places (the slow rank gets none), the reaction to the drift (0.3 s). Change: from passes of 60 ms on, half of the pause that users allow, the target is 1.15.

--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -44,6 +44,12 @@
 	// ahead is how many passes lie before the held one: some 40 ms each, against
 	// two messages and an order.
 	ahead mapswitch.Pass = 3
+	// longPass is when passes are so long that layouts are evened out as far as
+	// they can: half of the pause between events that users allow.
+	longPass = 60 * time.Millisecond
+	// evenSkew and evenGain take the place of the usual target and gain then.
+	evenSkew = 1.15
+	evenGain = 0.08
 	// worthwhile is by how much a switch must lower the skew, below which copies
 	// slow passes more than they help.
 	worthwhile = 0.15
@@ -93,6 +99,7 @@
 	awaited mapswitch.Version
 	awaitAt time.Time
 	began   time.Time
+	pace    passPace
 	farRead map[string]time.Time // by host
 }
 
@@ -227,6 +234,7 @@
 // note takes the newest of a rank.
 func (l *leader) note(now time.Time, state rankState) {
 	l.ranks[state.rank.Rank] = state
+	l.pace = l.pace.with(now, state.rank.View.Pass)
 	if l.current != nil {
 		s := l.current.WithView(state.rank.Rank, state.rank.View)
 		l.current = &s
@@ -412,6 +420,10 @@
 	if !ok {
 		return
 	}
+	target, gain := l.config.SkewTarget, worthwhile
+	if l.pace.mean > longPass {
+		target, gain = min(target, evenSkew), evenGain
+	}
 	speeds := make([]float64, len(l.ranks))
 	version := mapswitch.Version(0)
 	for i, r := range l.ranks {
@@ -427,14 +439,14 @@
 		skew := p.Skew(current[s])
 		before += skew / float64(len(current))
 		next[s] = current[s]
-		if skew > l.config.SkewTarget {
-			b := placement.Balance(p, current[s], placement.BalanceConfig{Target: l.config.SkewTarget, Spare: l.shape.Spare})
+		if skew > target {
+			b := placement.Balance(p, current[s], placement.BalanceConfig{Target: target, Spare: l.shape.Spare})
 			next[s], skew = b.Layout, b.Skew
 			added += b.Added
 		}
 		after += skew / float64(len(current))
 	}
-	if before-after < worthwhile {
+	if before-after < gain {
 		return
 	}
 	l.layouts = make([][][]int, len(next))
@@ -444,6 +456,7 @@
 	l.encoded = mesh.EncodeLayout(l.layouts)
 	l.plannedS = after
 	l.log.Info().Float64("skew", before).Float64("skew_planned", after).Int("copies", added).Int64("map", int64(version+1)).
+		Dur("pass", l.pace.mean).
 		Dur("took", time.Since(began)).Msg("switch of the expert map begins")
 	l.start(now, mapswitch.New(l.switchConfig(version+1)))
 }
