Relay: a target that is not where it should be is looked up at once

Change: a foreign target makes the entry read the registry, at most every 150 ms; the soak restarts a host once at a time. Test: TestRestartedTargetIsFoundAtOnce, red without.

--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -31,6 +31,9 @@
 	// behindSpread spreads the reads of entries that hear of newer routes, and
 	// lets one read serve versions that follow each other quickly.
 	behindSpread = 250 * time.Millisecond
+	// refreshAge is how old a view may be that is not read anew when a target has
+	// turned out to be gone.
+	refreshAge = 150 * time.Millisecond
 	// retryAfter is the pause after a failed read.
 	retryAfter = 200 * time.Millisecond
 	// returnGrace is how long targets whose entries lapsed while the store was
@@ -145,6 +148,18 @@
 	return b.proof.Holds(b.config.Clock(), b.tableAt, bound)
 }
 
+// Refresh reads the targets anew when the view is not quite fresh: one of them was
+// not where it should be.
+func (b *Board) Refresh(ctx context.Context) {
+	b.mu.Lock()
+	fresh := b.config.Now().Before(b.targetsDue.Add(refreshAge - readAge))
+	b.targetsDue = b.config.Now()
+	b.mu.Unlock()
+	if !fresh {
+		b.read(ctx)
+	}
+}
+
 // Run keeps the board current until the context ends.
 func (b *Board) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -244,6 +259,7 @@
 	b.mu.Lock()
 	b.targets = b.targets.Only(targets, b.grace())
 	b.targetsAt = end
+	b.targetsDue = b.config.Now().Add(readAge)
 	b.listed = true
 	after := b.targets
 	b.mu.Unlock()
@@ -334,13 +350,15 @@
 // takeRecords folds records from the offset into the registry.
 func (b *Board) takeRecords(from int64, r Records) {
 	b.mu.Lock()
+	if from <= b.targetsAt && r.End >= b.targetsAt {
+		b.targetsDue = b.config.Now().Add(readAge)
+	}
 	if r.End <= b.targetsAt || from > b.targetsAt {
 		b.mu.Unlock()
 		return
 	}
 	fresh := r.Raw[min(int(b.targetsAt-from), len(r.Raw)):]
 	b.targetsAt = from + int64(len(r.Raw))
-	b.targetsDue = b.config.Now().Add(readAge)
 	next := b.targets
 	for _, raw := range fresh {
 		next = b.fold(next, raw)
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -56,6 +56,9 @@
 			comeIn = groupReturn
 		}
 		y.loads.refused(y.config.Now(), t.ID, class == Foreign)
+		if class == Foreign {
+			y.config.Board.Refresh(ctx) // the target has gone, or started anew under another id
+		}
 		return result{sent: true, refusal: refusal{http.StatusServiceUnavailable, "target_refused", comeIn}}
 	}
 	return y.pass(ctx, c, t, answer)
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -41,6 +41,9 @@
 			}
 		},
 		Classify: func(r *http.Response) relay.Class {
+			if r.StatusCode == http.StatusMisdirectedRequest {
+				return relay.Foreign
+			}
 			if r.Header.Get("Not-Run") != "" {
 				return relay.NotRun
 			}
@@ -56,6 +59,7 @@
 	door  *httptest.Server
 	relay *relay.Relay
 	down  atomic.Bool // the store is away
+	moved atomic.Bool // t0 has started anew as t0b
 	mu    sync.Mutex
 	runs  []string // what targets ran, by target and request
 	seen  []*http.Request
@@ -107,8 +111,16 @@
 			}
 			return table, 1, nil
 		},
-		Targets: func(_ context.Context, from int64) (bulletin.Records, error) { return bulletin.Records{End: from}, nil },
-		List:    func(context.Context) ([]registry.Target, int64, error) { return targets, 1, nil },
+		Targets: func(_ context.Context, from int64) (bulletin.Records, error) {
+			return bulletin.Records{End: from, Lost: e.moved.Load()}, nil
+		},
+		List: func(context.Context) ([]registry.Target, int64, error) {
+			listed := append([]registry.Target(nil), targets...)
+			if e.moved.Load() {
+				listed[0].ID = "t0b"
+			}
+			return listed, 1, nil
+		},
 	}
 	m, err := mesh.Listen(mesh.Config{
 		Self: mesh.Host{Name: "e", Role: mesh.Entry, Address: "127.0.0.1:0"}, Silence: time.Second, Now: time.Now,
@@ -405,3 +417,21 @@
 		is.Fail() // the target still works for nobody
 	}
 }
+
+// TestRestartedTargetIsFoundAtOnce has the only target start anew at its address:
+// the entry must look it up instead of giving up until its next read.
+func TestRestartedTargetIsFoundAtOnce(t *testing.T) {
+	is := is.New(t)
+	e := start(t, atMostOnce(), func(e *entry, w http.ResponseWriter, r *http.Request) {
+		if e.moved.Load() && r.Header.Get("Only") != "t0b" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		serve("t0b")(e, w, r)
+	})
+	time.Sleep(250 * time.Millisecond) // the view is no longer quite fresh
+	e.moved.Store(true)
+	status, _, _, _ := e.call(t, http.MethodPost, "/r/x", "key")
+	is.Equal(status, http.StatusOK)
+	is.Equal(e.runCount(), 1)
+}
--- a/millload/soak/fleet.go
+++ b/millload/soak/fleet.go
@@ -40,6 +40,10 @@
 	store          *proxy // its own path to the store
 	settings       string
 
+	// restarting is held from the end of a process to the start of the next, so
+	// that overlapping faults never start two.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -184,6 +184,8 @@
 	mode := []faults.Mode{{Down: true}, {SlowMS: 300}, {LoseAnswer: true}}[rng.IntN(3)]
 	restart := func(s syscall.Signal) func() {
 		return func() {
+			h.restarting.Lock()
+			defer h.restarting.Unlock()
 			exited := h.signal(s)
 			if exited != nil {
 				<-exited
