Target daemons learn the shape of their group from an entry

Cause: after all power was lost on the grown fleet nobody led the group: a claimant reads the published configuration, some hundred kilobytes by then, over 8 Mbit/s, and gave up after 300 ms, each time anew. Ruled out: the claim itself, the entries (ready within a second). Change: entries tell the shape of a service in one datagram; the store is asked after 2 s, in the background.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -151,6 +151,8 @@
 		s := m.Strike.Strike
 		s.Until = time.Now().Add(time.Duration(m.Strike.LastsS) * time.Second)
 		f.relay.MergeStrike(s)
+	case m.AskShape != "":
+		f.tellShape(from, m.AskShape)
 	case m.Order != nil:
 		go f.order(from, *m.Order)
 	default:
@@ -158,6 +160,18 @@
 	}
 }
 
+// tellShape answers what is published of the engines of a service: a large
+// configuration takes too long over the narrow link of a target host.
+func (f *Front) tellShape(to mesh.Host, service string) {
+	table := f.board.Table()
+	if table == nil {
+		return // another entry may know it
+	}
+	if s, ok := table.Service(service); ok && s.Engine != nil {
+		f.mesh.Send(to.Name, mesh.Message{Shape: &mesh.Shape{Service: service, Engine: *s.Engine}})
+	}
+}
+
 // order gives an engine an order for a leader. One without an answer is repeated
 // by the leader.
 func (f *Front) order(from mesh.Host, o mesh.Order) {
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -4,6 +4,7 @@
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/mapswitch"
 	"camphormill.dev/parts/quarantine"
+	"camphormill.dev/parts/routes"
 )
 
 // Role is what a daemon does.
@@ -27,10 +28,13 @@
 
 // Message is one datagram: a notification with one part set.
 type Message struct {
-	Host     *Host     `json:"host,omitempty"` // the sender introduces itself
-	From     string    `json:"from"`
-	AskHosts bool      `json:"ask_hosts,omitempty"` // the sender knows nobody yet
-	Hosts    []Host    `json:"hosts,omitempty"`
+	Host     *Host  `json:"host,omitempty"` // the sender introduces itself
+	From     string `json:"from"`
+	AskHosts bool   `json:"ask_hosts,omitempty"` // the sender knows nobody yet
+	Hosts    []Host `json:"hosts,omitempty"`
+	// AskShape asks an entry what is published of the engines of a service.
+	AskShape string    `json:"ask_shape,omitempty"`
+	Shape    *Shape    `json:"shape,omitempty"`
 	Beat     *Beat     `json:"beat,omitempty"`
 	Bulletin *Bulletin `json:"bulletin,omitempty"`
 	Ask      *Ask      `json:"ask,omitempty"`
@@ -43,6 +47,12 @@
 	Strike   *Strike   `json:"strike,omitempty"`
 }
 
+// Shape is what is published of the engines of a service.
+type Shape struct {
+	Service string        `json:"service"`
+	Engine  routes.Engine `json:"engine"`
+}
+
 // Beat says that a daemon lives, and whether it takes callers.
 type Beat struct {
 	Ready   bool `json:"ready"`
--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -65,13 +65,13 @@
 
 // Engine describes the lock-step groups behind a service.
 type Engine struct {
-	Slots   int     // requests that one rank runs at once
-	Sets    int     // sets of layers with a layout of their own
-	Experts int     // in each set
-	Places  int     // experts that a rank holds at most, in each set
-	Spare   int     // experts that a rank can fetch at once, in each set
-	PassMS  float64 // of a pass that writes one token per request
-	ReadPS  float64 // prompt tokens that a rank reads in a second
+	Slots   int     `json:"slots"`   // requests that one rank runs at once
+	Sets    int     `json:"sets"`    // sets of layers with a layout of their own
+	Experts int     `json:"experts"` // in each set
+	Places  int     `json:"places"`  // experts that a rank holds at most, in each set
+	Spare   int     `json:"spare"`   // experts that a rank can fetch at once, in each set
+	PassMS  float64 `json:"pass_ms"` // of a pass that writes one token per request
+	ReadPS  float64 `json:"read_ps"` // prompt tokens that a rank reads in a second
 }
 
 // Service is one set of interchangeable targets.
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -36,6 +36,10 @@
 	readTimeout = 300 * time.Millisecond
 	// orderTimeout is how long an engine may take to answer an order.
 	orderTimeout = 120 * time.Millisecond
+	// shapeAsks is how many entries are asked for the shape at a time, and
+	// shapePatience how long before the store is asked; also how long that may take.
+	shapeAsks     = 2
+	shapePatience = 2 * time.Second
 	// layoutAge is how old the own layout may grow; it changes only by orders.
 	layoutAge = time.Second
 )
@@ -71,6 +75,9 @@
 	leading  *leader
 	readable bool
 	told     mapswitch.View // last reported
+	shape    *routes.Engine
+	// shapeAsked is when the shape was first asked for.
+	shapeAsked time.Time
 }
 
 // New returns an agent that knows nothing yet.
@@ -214,17 +221,22 @@
 // maybeClaim takes the lead of the group when its leader has been silent.
 func (a *Agent) maybeClaim(ctx context.Context) {
 	a.mu.Lock()
-	group, open := a.rank.Group, a.known
+	group, known := a.rank.Group, a.known
 	silent := a.config.Now().Sub(a.leadAt)
-	due := open && group != "" && a.leading == nil && silent > a.patience
+	due := known && group != "" && a.leading == nil && silent > a.patience
+	shape := a.shape
 	old := a.lead
 	a.mu.Unlock()
 	if !due {
 		return
 	}
+	if shape == nil {
+		a.askShape(ctx)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	shape, fence, err := a.claim(ctx, group)
+	fence, err := a.config.Store.Claim(ctx, group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.patience = patience(a.rank.Size)
@@ -239,20 +251,46 @@
 	}
 	a.lead = mesh.Lead{Service: a.config.Service, Group: group, Fence: fence}
 	a.leader = a.config.Self.Name
-	a.leading = newLeader(a.config, group, fence, shape)
+	a.leading = newLeader(a.config, group, fence, *shape)
 	a.config.Log.Info().Str("group", group).Int64("fence", int64(fence)).Dur("silent", silent).
 		Int64("old_fence", int64(old.Fence)).Msg("leads the group now")
 }
 
-// claim learns what the group looks like, which only its leader needs, and
-// claims the lead.
-func (a *Agent) claim(ctx context.Context, group string) (routes.Engine, mapswitch.Fence, error) {
+// askShape asks some entries, and the store when none of them answers: what is
+// published may be large, and the link of a target host is narrow.
+func (a *Agent) askShape(ctx context.Context) {
+	entries := a.config.Mesh.Known(mesh.Entry)
+	for range min(len(entries), shapeAsks) {
+		a.config.Mesh.Send(entries[rand.IntN(len(entries))].Name, mesh.Message{AskShape: a.config.Service})
+	}
+	now := a.config.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.shapeAsked.IsZero() {
+		a.shapeAsked = now
+	}
+	if now.Sub(a.shapeAsked) < shapePatience {
+		return
+	}
+	a.shapeAsked = now
+	go a.readShape(ctx)
+}
+
+func (a *Agent) readShape(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shapePatience)
+	defer cancel()
 	shape, err := a.config.Store.Shape(ctx)
 	if err != nil {
-		return routes.Engine{}, 0, err
+		a.config.Log.Warn().Err(err).Msg("shape of the engine's service is not known; it is asked for again")
+		return
 	}
-	fence, err := a.config.Store.Claim(ctx, group)
-	return shape, fence, err
+	a.setShape(shape)
+}
+
+func (a *Agent) setShape(shape routes.Engine) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shape = &shape
 }
 
 // advance lets the leader do what is due.
@@ -276,6 +314,8 @@
 	switch {
 	case m.Lead != nil:
 		a.follow(from, *m.Lead)
+	case m.Shape != nil && m.Shape.Service == a.config.Service:
+		a.setShape(m.Shape.Engine)
 	case m.Order != nil:
 		go a.order(from, *m.Order)
 	default:
--- a/targetd/ranks/group_test.go
+++ b/targetd/ranks/group_test.go
@@ -37,7 +37,9 @@
 	// freezeAtHold freezes the daemon that first holds a pass, for good.
 	freezeAtHold bool
 	frozen       string // its host
-	heldAt       time.Time
+	// storeSlow keeps the store from answering with the shape; an entry knows it.
+	storeSlow bool
+	heldAt    time.Time
 }
 
 type fakeEngine struct {
@@ -196,6 +198,8 @@
 	}
 }
 
+var shape = routes.Engine{Slots: 4, Sets: 1, Experts: groupExperts, Places: groupPlaces, Spare: 3}
+
 // start runs a target daemon's agent beside each engine.
 func (g *group) start(t *testing.T, ctx context.Context) {
 	t.Helper()
@@ -209,9 +213,10 @@
 		engines[hosts[i].Engine] = i
 		is.NoErr(probe.Close())
 	}
+	hosts = append(hosts, g.startEntry(t, ctx))
 	var mu sync.Mutex
 	claims := int64(0)
-	for i, host := range hosts {
+	for i, host := range hosts[:groupRanks] {
 		var agent *ranks.Agent
 		m, err := mesh.Listen(mesh.Config{
 			Self: host, Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
@@ -231,8 +236,12 @@
 					claims++
 					return ranks.Fence(claims), nil
 				},
-				Shape: func(context.Context) (routes.Engine, error) {
-					return routes.Engine{Slots: 4, Sets: 1, Experts: groupExperts, Places: groupPlaces, Spare: 3}, nil
+				Shape: func(ctx context.Context) (routes.Engine, error) {
+					if g.storeSlow {
+						<-ctx.Done()
+						return routes.Engine{}, ctx.Err()
+					}
+					return shape, nil
 				},
 			},
 		})
@@ -246,6 +255,29 @@
 	go g.run(ctx)
 }
 
+// startEntry runs what an entry does for a group: it knows the shape. It gives no
+// orders, so that leaders give them themselves.
+func (g *group) startEntry(t *testing.T, ctx context.Context) mesh.Host {
+	t.Helper()
+	is := is.New(t)
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	host := mesh.Host{Name: "entry", Role: mesh.Entry, Address: probe.LocalAddr().String()}
+	is.NoErr(probe.Close())
+	var m *mesh.Mesh
+	m, err = mesh.Listen(mesh.Config{
+		Self: host, Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
+		Handle: func(from mesh.Host, message mesh.Message) {
+			if message.AskShape == "s" {
+				m.Send(from.Name, mesh.Message{Shape: &mesh.Shape{Service: "s", Engine: shape}})
+			}
+		},
+	})
+	is.NoErr(err)
+	go m.Run(ctx)
+	return host
+}
+
 func (g *group) versions() (mapswitch.Version, bool, int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -296,3 +328,21 @@
 	_, mixed, _ := g.versions()
 	is.True(!mixed)
 }
+
+// TestShapeComesFromAnEntry has a store that answers too slowly over a narrow link;
+// the group must still find a leader and change its map.
+func TestShapeComesFromAnEntry(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGroup(30 * time.Millisecond)
+	g.storeSlow = true
+	g.start(t, ctx)
+	var version mapswitch.Version
+	deadline := time.Now().Add(5 * time.Second)
+	for version == 0 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+		version, _, _ = g.versions()
+	}
+	is.True(version > 0)
+}
