camphormill explain; one read of the store at a time; linter clean

Log lines now carry milliseconds. The linter found a lock taken only to wait for another read; the read that goes on now tells its end.

--- a/camphormill/command/command.go
+++ b/camphormill/command/command.go
@@ -25,7 +25,7 @@
 	root := &cli.Command{
 		Name:     "camphormill",
 		Usage:    "publish presets and watch them take effect",
-		Commands: []*cli.Command{presetVerb(), statusVerb(), commandline.VersionVerb("camphormill")},
+		Commands: []*cli.Command{presetVerb(), statusVerb(), explainVerb(), commandline.VersionVerb("camphormill")},
 	}
 	return commandline.Run(ctx, root, args, os.Stderr)
 }
--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -82,9 +82,9 @@
 // Board is safe for concurrent use.
 type Board struct {
 	config Config
-	reads  sync.Mutex // one read at a time
 
 	mu        sync.Mutex
+	reading   chan struct{} // closed when the read that goes on ends
 	table     *routes.Table
 	tableAt   int64 // end of the configuration stream that the table is from
 	proof     freshness.Proof
@@ -202,14 +202,35 @@
 	}
 }
 
+// beginRead returns the end of the read that goes on, and whether it is a new one.
+func (b *Board) beginRead() (chan struct{}, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reading != nil {
+		return b.reading, false
+	}
+	b.reading = make(chan struct{})
+	return b.reading, true
+}
+
+func (b *Board) endRead(done chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = nil
+	close(done)
+}
+
 // read reads the store once and tells the peers.
 func (b *Board) read(ctx context.Context) {
-	if !b.reads.TryLock() {
-		b.reads.Lock() // another read is on its way and serves this one
-		b.reads.Unlock()
+	done, first := b.beginRead()
+	if !first {
+		select {
+		case <-done: // another read was on its way and served this one
+		case <-ctx.Done():
+		}
 		return
 	}
-	defer b.reads.Unlock()
+	defer b.endRead(done)
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	b.mu.Lock()
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -249,7 +249,7 @@
 
 // run sends the request until it has its answer, and says whether that broke off.
 func (y *Relay) run(ctx context.Context, c *call) bool {
-	last := refusal{http.StatusServiceUnavailable, "no_target", soon}
+	var last refusal
 	for {
 		target, release, no := y.choose(ctx, c)
 		if no != nil {
--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -48,8 +48,6 @@
 	calmTime     = 3 * time.Second
 	// leastRecovered is the share of requests that must be served then.
 	leastRecovered = 0.9
-	// longestHold is how long a pass may be held while all daemons run.
-	longestHold = 3 * time.Second
 )
 
 // Run plays one seed.
--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -35,7 +35,18 @@
 	if err != nil {
 		return zerolog.Nop(), errors.Errorf("log level %q is not known; write debug, info, warn or error", level)
 	}
-	return zerolog.New(w).Level(parsed).With().Timestamp().Str("daemon", name).Logger(), nil
+	return zerolog.New(w).Level(parsed).Hook(timestamp{}).With().Str("daemon", name).Logger(), nil
+}
+
+// timeFormat gives milliseconds: the lines of one request are that close together.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// timestamp adds the time to each line.
+type timestamp struct{}
+
+// Run adds the time.
+func (timestamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("time", time.Now().UTC().Format(timeFormat))
 }
 
 // Part returns the logger of one part of a daemon.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,13 +4,13 @@
 cd "$(dirname "$0")/.."
 mkdir -p bin
 (cd tools && GOWORK=off go build -o ../bin/ tool)
-unformatted=$(bin/gofumpt -l camphormill entryd millload parts proofs standin targetd)
-unordered=$(bin/goimports -local camphormill.dev -l camphormill entryd millload parts proofs standin targetd)
+unformatted=$(bin/gofumpt -l camphormill entryd millload parts platform proofs standin targetd)
+unordered=$(bin/goimports -local camphormill.dev -l camphormill entryd millload parts platform proofs standin targetd)
 if [ -n "$unformatted$unordered" ]; then
 	echo "not formatted; run bin/gofumpt -w and bin/goimports -local camphormill.dev -w on:" >&2
 	echo "$unformatted" "$unordered" >&2
 	exit 1
 fi
-for module in camphormill entryd millload parts proofs standin targetd; do
+for module in camphormill entryd millload parts platform proofs standin targetd; do
 	(cd "$module" && go vet ./... && ../bin/staticcheck -checks all ./...)
 done
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,5 +3,5 @@
 # proof runs. At the end whole processes run under faults: see scripts/smoke.sh.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go test "$@" ./parts/... ./entryd/... ./targetd/... ./camphormill/... ./standin/... ./millload/... ./proofs/...
+go test "$@" ./parts/... ./entryd/... ./targetd/... ./camphormill/... ./standin/... ./millload/... ./platform/... ./proofs/...
 bash scripts/smoke.sh
