--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -58,11 +58,13 @@
 
 // Store is how the store is read.
 type Store struct {
-	// Configuration returns the newest routes when they changed after the
+	// Configuration returns what was published last when it changed after the
 	// offset, or nil, and the end of the stream.
-	Configuration func(ctx context.Context, from int64) (*routes.Table, int64, error)
-	Targets       func(ctx context.Context, from int64) (Records, error)
-	List          func(ctx context.Context) ([]registry.Target, int64, error)
+	Configuration func(ctx context.Context, from int64) ([]byte, int64, error)
+	// Table reads what was published.
+	Table   func(published []byte) (*routes.Table, error)
+	Targets func(ctx context.Context, from int64) (Records, error)
+	List    func(ctx context.Context) ([]registry.Target, int64, error)
 	// Decode reads one record. A nil target was removed; ok is false for a
 	// record that cannot be read.
 	Decode func(raw []byte) (id string, t *registry.Target, ok bool)
@@ -241,9 +243,9 @@
 	b.mu.Unlock()
 	asOf := b.config.Clock()
 	beats := b.beats()
-	table, end, err := b.config.Store.Configuration(ctx, tableAt)
+	published, end, err := b.config.Store.Configuration(ctx, tableAt)
 	if err == nil {
-		b.takeTable(table, end, asOf)
+		b.takePublished(published, end, asOf)
 	}
 	if err != nil {
 		b.noteFailure(err)
@@ -259,7 +261,10 @@
 	} else {
 		b.noteReachable()
 	}
-	b.tell(end, targetsAt, records, !onlyTable && err == nil, beats)
+	b.tell(mesh.Bulletin{
+		Configuration: end, Published: compress(published), From: targetsAt, End: records.End, Targets: records.Raw,
+		Read: !onlyTable && err == nil,
+	}, records.Lost, beats)
 }
 
 func (b *Board) readTargets(ctx context.Context, from int64, listed bool) (Records, error) {
@@ -311,14 +316,13 @@
 
 // tell passes on what was read. A peer may count it from its own beat that had
 // arrived before the read.
-func (b *Board) tell(configuration, from int64, records Records, read bool, beats map[string]freshness.Instant) {
-	told := mesh.Bulletin{Configuration: configuration, From: from, End: records.End, Targets: records.Raw, Read: read}
+func (b *Board) tell(told mesh.Bulletin, lost bool, beats map[string]freshness.Instant) {
 	size := 0
-	for _, raw := range records.Raw {
+	for _, raw := range told.Targets {
 		size += len(raw)
 	}
-	if size > maxTold || records.Lost {
-		told.From, told.Targets = records.End, nil // who lags behind reads for itself
+	if size > maxTold || lost {
+		told.From, told.Targets = told.End, nil // who lags behind reads for itself
 	}
 	for name, after := range beats {
 		one := told
@@ -329,6 +333,9 @@
 
 // Hear takes what a peer read.
 func (b *Board) Hear(from string, m mesh.Bulletin) {
+	if b.takeTold(m) {
+		b.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("routes came from a peer")
+	}
 	b.mu.Lock()
 	tableAt := b.tableAt
 	if m.Configuration > tableAt {
@@ -352,6 +359,36 @@
 	b.takeRecords(m.From, Records{Raw: m.Targets, End: m.End})
 }
 
+// takeTold takes a configuration that a peer has read, and says whether it did.
+func (b *Board) takeTold(m mesh.Bulletin) bool {
+	b.mu.Lock()
+	known := m.Configuration <= b.tableAt
+	b.mu.Unlock()
+	if known || len(m.Published) == 0 || m.After == 0 {
+		return false
+	}
+	published, err := expand(m.Published)
+	if err != nil {
+		b.config.Log.Warn().Err(err).Msg("configuration of a peer cannot be read; the store is asked")
+		return false
+	}
+	b.takePublished(published, m.Configuration, m.After)
+	return true
+}
+
+// takePublished reads what was published. What cannot be read leaves the routes in
+// force as they are.
+func (b *Board) takePublished(published []byte, end int64, asOf freshness.Instant) {
+	var table *routes.Table
+	if published != nil {
+		var err error
+		if table, err = b.config.Store.Table(published); err != nil {
+			b.config.Log.Warn().Err(err).Int64("offset", end).Msg("published configuration cannot be read; the last one holds")
+		}
+	}
+	b.takeTable(table, end, asOf)
+}
+
 func (b *Board) takeTable(table *routes.Table, end int64, asOf freshness.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/millload/soak/callers.go
+++ b/millload/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -87,6 +88,14 @@
 	return key, time.Time{}
 }
 
+// removed says whether a key is no longer published; it may have been when the
+// request began.
+func (c *callers) removed(key string) bool {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	return !slices.Contains(c.fleet.keys, key)
+}
+
 func (c *callers) call(ctx context.Context, client *http.Client, at, id string, rng *rand.Rand) {
 	ctx, cancel := context.WithTimeout(ctx, 7*time.Second)
 	defer cancel()
@@ -119,11 +128,11 @@
 	}
 	body, err := io.ReadAll(answer.Body)
 	_ = answer.Body.Close()
-	c.judge(kind, id, answer, string(body), err, sent, since)
+	c.judge(kind, id, key, answer, string(body), err, sent, since)
 }
 
 // judge checks an answer against what callers are promised.
-func (c *callers) judge(kind, id string, answer *http.Response, body string, bodyErr error, sent, since time.Time) {
+func (c *callers) judge(kind, id, key string, answer *http.Response, body string, bodyErr error, sent, since time.Time) {
 	switch {
 	case answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests:
 		c.counts.refused.Add(1)
@@ -133,7 +142,8 @@
 		return
 	case answer.StatusCode != http.StatusOK || bodyErr != nil:
 		c.counts.failed.Add(1)
-		if since.IsZero() && (answer.StatusCode == http.StatusUnauthorized || answer.StatusCode == http.StatusNotFound) {
+		denied := answer.StatusCode == http.StatusUnauthorized || answer.StatusCode == http.StatusNotFound
+		if denied && !c.removed(key) {
 			c.breach("request %s was denied with %d though its route and key are published", id, answer.StatusCode)
 		}
 		return
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -65,6 +65,8 @@
 type Bulletin struct {
 	// Configuration is the end of the configuration stream at the read.
 	Configuration int64 `json:"configuration"`
+	// Published is the newest configuration, compressed, when the read brought it.
+	Published []byte `json:"published,omitempty"`
 	// After is the receiver's own clock from a beat that had arrived before the
 	// read was sent; 0 when there was none.
 	After freshness.Instant `json:"after,omitempty"`
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -67,7 +67,6 @@
 	known    bool
 	layoutAt time.Time
 	counts   []int64
-	epoch    int64
 	lead     mesh.Lead // newest leader of the own group
 	leader   string
 	leadAt   time.Time
