--- a/millload/command/soak_verb.go
+++ b/millload/command/soak_verb.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +33,9 @@
 }
 
 func soakRun(ctx context.Context, c *cli.Command) error {
+	// An interrupted run still ends the processes that it started.
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
 	failed := 0
 	for n := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(n)
--- a/scripts/docs.sh
+++ b/scripts/docs.sh
@@ -55,7 +55,7 @@
 }
 
 status=0
-for file in docs/CALLERS.md docs/OPERATORS.md; do
+for file in docs/CALLERS.md docs/OPERATORS.md docs/OPERATIONS.md; do
 	paste "$file" >"$WORK/fresh"
 	if [ "${1:-}" = --check ]; then
 		if ! diff <(form "$file") <(form "$WORK/fresh"); then
