Board: only removals first heard of after a silence may be undone

An entry that had been cut off until shortly before gave each removal two seconds of grace for four seconds after its last failed read. Change: grace only for what is first heard after two seconds without any confirmation, own or a peer's. Besides, a late entry no longer brings back a target that has said that it leaves. Tests: TestRemovalAfterAnOutageCountsAtOnce (red before), TestRemovalInAnOutageMayBeUndone, TestLateEntriesDoNotBringBackLeavingTargets.

--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -39,9 +39,10 @@
 	// returnGrace is how long targets whose entries lapsed while the store was
 	// away may take to come back.
 	returnGrace = 2 * time.Second
-	// outageMemory is for how long after a failed read a removal counts as one
-	// that the store's absence may have caused.
-	outageMemory = 4 * time.Second
+	// outageGap is how old the last confirmation must be for a removal to count as
+	// one that the store's absence may have caused: longer than any usual pause
+	// between reads, shorter than the silence after which entries lapse.
+	outageGap = 2 * time.Second
 	// tick is how often it is looked whether a read is due.
 	tick = 50 * time.Millisecond
 	// maxTold is how many bytes of records one datagram carries.
@@ -94,7 +95,7 @@
 	listed    bool
 	targetsAt int64
 	readDue   time.Time
-	failed    time.Time // last failed read
+	confirmed time.Time // when the store was last heard of, from itself or a peer
 	reachable bool
 	behind    bool // a peer knows newer configuration
 	// targetsDue is when the targets should be read anew.
@@ -261,6 +262,9 @@
 	} else {
 		b.noteReachable()
 	}
+	if err == nil && !onlyTable {
+		b.confirm()
+	}
 	b.tell(mesh.Bulletin{
 		Configuration: end, Published: compress(published), From: targetsAt, End: records.End, Targets: records.Raw,
 		Read: !onlyTable && err == nil,
@@ -295,10 +299,11 @@
 }
 
 // grace is until when a removed target may come back: its entry may have lapsed
-// because the store was away.
+// because the store was away, if this is the first that is heard of the store for
+// a while. A removal after that is the target's own.
 func (b *Board) grace() time.Time {
 	now := b.config.Now()
-	if b.failed.IsZero() || now.Sub(b.failed) > outageMemory {
+	if now.Sub(b.confirmed) <= outageGap {
 		return time.Time{}
 	}
 	return now.Add(returnGrace)
@@ -357,6 +362,16 @@
 	}
 	b.mu.Unlock()
 	b.takeRecords(m.From, Records{Raw: m.Targets, End: m.End})
+	if m.Read {
+		b.confirm()
+	}
+}
+
+// confirm notes that the registry was heard of just now.
+func (b *Board) confirm() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmed = b.config.Now()
 }
 
 // takeTold takes a configuration that a peer has read, and says whether it did.
@@ -451,7 +466,6 @@
 func (b *Board) noteFailure(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failed = b.config.Now()
 	b.postpone(retryAfter)
 	if b.reachable {
 		b.config.Log.Warn().Err(err).Msg("store lost; peers are heard, and it is tried again")
--- a/entryd/bulletin/bulletin_test.go
+++ b/entryd/bulletin/bulletin_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	version int64
 	targets []registry.Target
+	removed [][]byte // ids, the registry's records from offset 1
 	calls   atomic.Int64
 }
 
@@ -51,13 +52,15 @@
 		},
 		Targets: func(_ context.Context, from int64) (bulletin.Records, error) {
 			s.calls.Add(1)
-			return bulletin.Records{End: from}, nil
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return bulletin.Records{Raw: s.removed[from-1:], End: int64(1 + len(s.removed))}, nil
 		},
 		List: func(context.Context) ([]registry.Target, int64, error) {
 			s.calls.Add(1)
 			return s.targets, 1, nil
 		},
-		Decode: func([]byte) (string, *registry.Target, bool) { return "", nil, false },
+		Decode: func(raw []byte) (string, *registry.Target, bool) { return string(raw), nil, true },
 	}
 }
 
@@ -176,3 +179,37 @@
 		is.True(!b.Current(context.Background(), time.Second)) // peers do not prove it to each other
 	}
 }
+
+// TestRemovalAfterAnOutageCountsAtOnce cuts an entry from the store for a while.
+// A target that leaves after the store is regained must be gone at once: the
+// outage did not cause that.
+func TestRemovalAfterAnOutageCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	f.cut[0].Store(true)
+	time.Sleep(2500 * time.Millisecond)
+	f.cut[0].Store(false)
+	is.True(eventually(3*time.Second, func() bool { return f.boards[0].Current(context.Background(), 300*time.Millisecond) }))
+	time.Sleep(900 * time.Millisecond) // a read in calm
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("a"))
+	f.store.mu.Unlock()
+	gone := func() bool { return len(f.boards[0].Targets().Serving("s")) == 0 }
+	is.True(eventually(1200*time.Millisecond, gone)) // one read later, without grace
+}
+
+// TestRemovalInAnOutageMayBeUndone finds a removal in the first read after an
+// outage: the target serves on until it has had time to come back.
+func TestRemovalInAnOutageMayBeUndone(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	f.cut[0].Store(true)
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("a"))
+	f.store.mu.Unlock()
+	time.Sleep(2500 * time.Millisecond)
+	f.cut[0].Store(false)
+	is.True(eventually(3*time.Second, func() bool { return f.boards[0].Current(context.Background(), 300*time.Millisecond) }))
+	is.Equal(len(f.boards[0].Targets().Serving("s")), 1)
+	is.True(eventually(3*time.Second, func() bool { return len(f.boards[0].Targets().Serving("s")) == 0 }))
+}
--- a/parts/registry/registry.go
+++ b/parts/registry/registry.go
@@ -37,8 +37,13 @@
 	missing map[string]time.Time
 }
 
-// With returns the registry after a target's entry was written.
+// With returns the registry after a target's entry was written. An incarnation
+// that leaves does not come back: an entry that says so was written earlier and
+// arrived late.
 func (r Registry) With(t Target) Registry {
+	if old, known := r.targets[t.ID]; known && old.State == Draining && t.State == Ready && old.Started.Equal(t.Started) {
+		return r
+	}
 	next := r.clone()
 	next.targets[t.ID] = t
 	delete(next.missing, t.ID)
--- a/parts/registry/registry_test.go
+++ b/parts/registry/registry_test.go
@@ -47,3 +47,14 @@
 	is.True(ok)
 	is.Equal(got.ID, "b")
 }
+
+// TestLateEntriesDoNotBringBackLeavingTargets orders two entries the wrong way.
+func TestLateEntriesDoNotBringBackLeavingTargets(t *testing.T) {
+	is := is.New(t)
+	var empty registry.Registry
+	r := empty.With(target("a", "h:1", registry.Draining)).With(target("a", "h:1", registry.Ready))
+	is.Equal(len(r.Serving("s")), 0)
+	anew := target("a", "h:1", registry.Ready)
+	anew.Started = time.Unix(5, 0) // the same id may start again
+	is.Equal(len(r.With(anew).Serving("s")), 1)
+}
