--- /dev/null
+++ b/entryd/front/front_test.go
@@ -0,0 +1,136 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/entryd/bulletin"
+	"camphormill.dev/entryd/front"
+	"camphormill.dev/entryd/relay"
+	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/registry"
+	"camphormill.dev/parts/routes"
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// config is an entry before one slow target.
+func config(t *testing.T, work time.Duration) front.Config {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(server.Close)
+	target := registry.Target{ID: "a", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), State: registry.Ready}
+	table := routes.New(routes.Config{
+		Version: 1, Services: []routes.Service{{Name: "s"}},
+		Routes: []routes.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routes.Share{{Service: "s", Weight: 1}}}},
+	})
+	callers := freeAddress(t)
+	status := func(f *front.Front) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Join(f.Addresses(), ","))
+		})
+	}
+	return front.Config{
+		Self: mesh.Host{Name: "e", Role: mesh.Entry, Address: freeAddress(t), Public: callers}, Callers: callers,
+		Ready: freeAddress(t), Directory: freeAddress(t), Metrics: freeAddress(t), ReadyDoor: status, DirectoryDoor: status,
+		KeyBound: 5 * time.Second, StopWithin: 6 * time.Second, RetryShare: 0.2, RetrySlack: 10, Entries: 1, Log: zerolog.Nop(),
+		Hosts: mesh.List{
+			Register: func(context.Context, mesh.Host) error { return nil },
+			Hosts:    func(context.Context) ([]mesh.Host, error) { return nil, nil },
+		},
+		Store: bulletin.Store{
+			Configuration: func(_ context.Context, from int64) ([]byte, int64, error) {
+				if from == 1 {
+					return nil, 1, nil
+				}
+				return []byte("x"), 1, nil
+			},
+			Table:   func([]byte) (*routes.Table, error) { return table, nil },
+			Targets: func(_ context.Context, from int64) (bulletin.Records, error) { return bulletin.Records{End: from}, nil },
+			List:    func(context.Context) ([]registry.Target, int64, error) { return []registry.Target{target}, 1, nil },
+		},
+		Wire: relay.Wire{
+			Read:     func(*http.Request) relay.Envelope { return relay.Envelope{} },
+			Prepare:  func(http.Header, relay.Envelope, relay.Sending) {},
+			Classify: func(*http.Response) relay.Class { return relay.Ran },
+			Load:     func(*http.Response) (relay.Load, bool) { return relay.Load{}, false },
+			Fault:    func(*http.Response) string { return "" },
+		},
+	}
+}
+
+func get(address, host string) (string, error) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		return "", err
+	}
+	r.Host = host
+	answer, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+// TestPlannedStopCutsNothingOff stops an entry while it answers: it leaves the
+// address answers at once, serves those who still come, and ends in time.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	is := is.New(t)
+	c := config(t, 700*time.Millisecond)
+	k := kernel.New()
+	front.Services(k, c)
+	is.NoErr(k.Start(context.Background()))
+	addresses := ""
+	for i := 0; addresses == "" && i < 300; i++ {
+		time.Sleep(10 * time.Millisecond)
+		addresses, _ = get(c.Directory, "")
+	}
+	is.Equal(addresses, c.Callers) // ready once routes and targets are known
+	answers := make(chan string, 2)
+	ask := func() {
+		body, err := get(c.Callers, "h")
+		if err != nil {
+			body = err.Error()
+		}
+		answers <- body
+	}
+	go ask()
+	time.Sleep(100 * time.Millisecond) // it is with the target
+	began := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- k.Stop(context.Background()) }()
+	time.Sleep(300 * time.Millisecond)
+	addresses, err := get(c.Directory, "")
+	is.NoErr(err)
+	is.Equal(addresses, "") // out of the answers at once
+	go ask()                // by a caller that still has the address
+	is.Equal(<-answers, "done")
+	is.Equal(<-answers, "done")
+	is.NoErr(<-stopped)
+	is.True(time.Since(began) < c.StopWithin)
+	_, err = get(c.Callers, "h")
+	is.True(err != nil) // gone
+}
