--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -192,19 +192,6 @@
 	b.readDue = b.config.Now().Add(after + time.Duration(rand.Int64N(int64(spread))))
 }
 
-// expire drops the targets that have not come back.
-func (b *Board) expire() {
-	b.mu.Lock()
-	before := b.targets
-	b.targets = b.targets.At(b.config.Now())
-	after := b.targets
-	b.mu.Unlock()
-	if before.Len() != after.Len() {
-		b.config.Log.Info().Int("targets", after.Len()).Msg("targets that did not come back after an outage are gone")
-		b.config.Changed(after)
-	}
-}
-
 // beginRead returns the end of the read that goes on, and whether it is a new one.
 func (b *Board) beginRead() (chan struct{}, bool) {
 	b.mu.Lock()
@@ -271,126 +258,6 @@
 	}, records.Lost, beats)
 }
 
-func (b *Board) readTargets(ctx context.Context, from int64, listed bool) (Records, error) {
-	if listed {
-		records, err := b.config.Store.Targets(ctx, from)
-		if err != nil {
-			return Records{}, err
-		}
-		if !records.Lost {
-			b.takeRecords(from, records)
-			return records, nil
-		}
-	}
-	targets, end, err := b.config.Store.List(ctx)
-	if err != nil {
-		return Records{}, err
-	}
-	b.mu.Lock()
-	b.targets = b.targets.Only(targets, b.grace())
-	b.targetsAt = end
-	b.targetsDue = b.config.Now().Add(readAge)
-	b.listed = true
-	after := b.targets
-	b.mu.Unlock()
-	b.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Msg("targets listed")
-	b.config.Changed(after)
-	return Records{End: end, Lost: true}, nil
-}
-
-// grace is until when a removed target may come back: its entry may have lapsed
-// because the store was away, if this is the first that is heard of the store for
-// a while. A removal after that is the target's own.
-func (b *Board) grace() time.Time {
-	now := b.config.Now()
-	if now.Sub(b.confirmed) <= outageGap {
-		return time.Time{}
-	}
-	return now.Add(returnGrace)
-}
-
-func (b *Board) beats() map[string]freshness.Instant {
-	beats := map[string]freshness.Instant{}
-	for _, h := range b.config.Mesh.Alive(mesh.Entry) {
-		if beat, ok := b.config.Mesh.LastBeat(h.Name); ok {
-			beats[h.Name] = beat.Sent
-		}
-	}
-	return beats
-}
-
-// tell passes on what was read. A peer may count it from its own beat that had
-// arrived before the read.
-func (b *Board) tell(told mesh.Bulletin, lost bool, beats map[string]freshness.Instant) {
-	size := 0
-	for _, raw := range told.Targets {
-		size += len(raw)
-	}
-	if size > maxTold || lost {
-		told.From, told.Targets = told.End, nil // who lags behind reads for itself
-	}
-	for name, after := range beats {
-		one := told
-		one.After = after
-		b.config.Mesh.Send(name, mesh.Message{Bulletin: &one})
-	}
-}
-
-// Hear takes what a peer read.
-func (b *Board) Hear(from string, m mesh.Bulletin) {
-	if b.takeTold(m) {
-		b.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("routes came from a peer")
-	}
-	b.mu.Lock()
-	tableAt := b.tableAt
-	if m.Configuration > tableAt {
-		if !b.behind {
-			b.readDue = b.config.Now().Add(time.Duration(rand.Int64N(int64(behindSpread))))
-			b.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("a peer knows newer routes; they are read")
-		}
-		b.behind = true
-	}
-	if m.After > 0 && m.Configuration <= tableAt {
-		b.proof = b.proof.With(m.Configuration, m.After) // else the old proof grows old
-	}
-	if !b.listed || m.From > b.targetsAt {
-		b.mu.Unlock()
-		return
-	}
-	if m.Configuration <= tableAt && m.After > 0 && m.Read && m.End >= b.targetsAt {
-		b.postpone(readAge)
-	}
-	b.mu.Unlock()
-	b.takeRecords(m.From, Records{Raw: m.Targets, End: m.End})
-	if m.Read {
-		b.confirm()
-	}
-}
-
-// confirm notes that the registry was heard of just now.
-func (b *Board) confirm() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.confirmed = b.config.Now()
-}
-
-// takeTold takes a configuration that a peer has read, and says whether it did.
-func (b *Board) takeTold(m mesh.Bulletin) bool {
-	b.mu.Lock()
-	known := m.Configuration <= b.tableAt
-	b.mu.Unlock()
-	if known || len(m.Published) == 0 || m.After == 0 {
-		return false
-	}
-	published, err := expand(m.Published)
-	if err != nil {
-		b.config.Log.Warn().Err(err).Msg("configuration of a peer cannot be read; the store is asked")
-		return false
-	}
-	b.takePublished(published, m.Configuration, m.After)
-	return true
-}
-
 // takePublished reads what was published. What cannot be read leaves the routes in
 // force as they are.
 func (b *Board) takePublished(published []byte, end int64, asOf freshness.Instant) {
@@ -420,49 +287,6 @@
 	b.proof = b.proof.With(end, asOf)
 }
 
-// takeRecords folds records from the offset into the registry.
-func (b *Board) takeRecords(from int64, r Records) {
-	b.mu.Lock()
-	if from <= b.targetsAt && r.End >= b.targetsAt {
-		b.targetsDue = b.config.Now().Add(readAge)
-	}
-	if r.End <= b.targetsAt || from > b.targetsAt {
-		b.mu.Unlock()
-		return
-	}
-	fresh := r.Raw[min(int(b.targetsAt-from), len(r.Raw)):]
-	b.targetsAt = from + int64(len(r.Raw))
-	next := b.targets
-	for _, raw := range fresh {
-		next = b.fold(next, raw)
-	}
-	b.targets = next
-	b.mu.Unlock()
-	if len(fresh) > 0 {
-		b.config.Changed(next)
-	}
-}
-
-func (b *Board) fold(r registry.Registry, raw []byte) registry.Registry {
-	id, t, ok := b.config.Store.Decode(raw)
-	if !ok {
-		b.config.Log.Warn().Str("target", id).Int("bytes", len(raw)).Msg("record of a target cannot be read; it names nothing to use")
-		return r
-	}
-	old, known := r.Target(id)
-	if t == nil {
-		if known {
-			b.config.Log.Info().Str("target", id).Str("service", old.Service).Time("grace", b.grace()).Msg("target removed")
-		}
-		return r.Without(id, b.grace())
-	}
-	if known && old == *t {
-		return r
-	}
-	b.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("state", string(t.State)).Msg("target changed")
-	return r.With(*t)
-}
-
 func (b *Board) noteFailure(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/millload/soak/callers.go
+++ b/millload/soak/callers.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"camphormill.dev/standin/rack"
 )
 
 // counts are the outcomes of callers.
@@ -54,23 +54,11 @@
 func (c *callers) resolve(ctx context.Context, client *http.Client, rng *rand.Rand) []string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	at := c.fleet.address(1+rng.IntN(c.fleet.config.Entries), namesPort)
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/api/resolve?name=h&zone=z", nil)
-	if err != nil {
-		return nil
-	}
-	answer, err := client.Do(r)
+	addresses, err := rack.Resolve(ctx, client, c.fleet.address(1+rng.IntN(c.fleet.config.Entries), namesPort))
 	if err != nil {
-		return nil
-	}
-	defer func() { _ = answer.Body.Close() }()
-	var found struct {
-		Addresses []string `json:"addresses"`
-	}
-	if err := json.NewDecoder(answer.Body).Decode(&found); err != nil {
-		return nil // refused; the next try asks another entry
+		return nil // stopped, frozen or not ready; the next try asks another entry
 	}
-	return found.Addresses
+	return addresses
 }
 
 func (c *callers) key(rng *rand.Rand) (string, time.Time) {
@@ -99,52 +87,34 @@
 func (c *callers) call(ctx context.Context, client *http.Client, at, id string, rng *rand.Rand) {
 	ctx, cancel := context.WithTimeout(ctx, 7*time.Second)
 	defer cancel()
-	kind := []string{"drafts", "calls", "reads"}[rng.IntN(3)]
-	method := http.MethodPost
-	if kind == "reads" {
-		method = http.MethodGet
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+at+"/"+kind+"/x", strings.NewReader("body of "+id))
-	if err != nil {
-		return
-	}
+	kind := []rack.Kind{rack.Draft, rack.Call, rack.Read}[rng.IntN(3)]
 	key, since := c.key(rng)
-	r.Host = "h"
-	r.Header.Set("Attempt-Id", id)
-	r.Header.Set("Deadline", "6000")
-	r.Header.Set("Authorization", "Token "+key)
-	r.Header.Set("Token-Count", "600,80")
-	if kind == "calls" {
-		r.Header.Set("Once", "1")
-	}
 	if since.IsZero() {
 		c.counts.asked.Add(1)
 	}
 	sent := time.Now()
-	answer, err := client.Do(r)
+	reply, err := rack.Send(ctx, client, at, rack.Ask{Kind: kind, ID: id, Key: key, Limit: 6 * time.Second})
 	if err != nil {
 		c.counts.failed.Add(1)
 		return
 	}
-	body, err := io.ReadAll(answer.Body)
-	_ = answer.Body.Close()
-	c.judge(kind, id, key, answer, string(body), err, sent, since)
+	c.judge(kind, id, key, reply, sent, since)
 }
 
 // judge checks an answer against what callers are promised.
-func (c *callers) judge(kind, id, key string, answer *http.Response, body string, bodyErr error, sent, since time.Time) {
+func (c *callers) judge(kind rack.Kind, id, key string, r rack.Reply, sent, since time.Time) {
 	switch {
-	case answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests:
+	case r.NotRun():
 		c.counts.refused.Add(1)
-		if kind == "calls" {
+		if kind == rack.Call {
 			c.fleet.book.NotRun(id)
 		}
 		return
-	case answer.StatusCode != http.StatusOK || bodyErr != nil:
+	case r.Status != http.StatusOK || r.Broken:
 		c.counts.failed.Add(1)
-		denied := answer.StatusCode == http.StatusUnauthorized || answer.StatusCode == http.StatusNotFound
+		denied := r.Status == http.StatusUnauthorized || r.Status == http.StatusNotFound
 		if denied && !c.removed(key) {
-			c.breach("request %s was denied with %d though its route and key are published", id, answer.StatusCode)
+			c.breach("request %s was denied with %d though its route and key are published", id, r.Status)
 		}
 		return
 	}
@@ -152,32 +122,27 @@
 	if !since.IsZero() && sent.After(since.Add(keyBound)) {
 		c.breach("request %s ran with a key that was removed %s before", id, sent.Sub(since).Round(time.Millisecond))
 	}
-	if answer.Header.Get("Response-Seal") == "" {
-		c.breach("request %s has a success without the mark of its target", id)
+	if !r.Sealed {
+		c.breach("request %s has a success without the seal of its target", id)
 	}
-	if echoed := answer.Header.Get("Attempt-Id"); echoed != id {
-		c.breach("request %s got the answer of %s", id, echoed)
+	if r.ID != id {
+		c.breach("request %s got the answer of %s", id, r.ID)
 	}
-	if kind != "drafts" && body != "answer to "+id {
-		c.breach("request %s got %q", id, body)
+	if kind != rack.Draft && r.Body != "answer to "+id {
+		c.breach("request %s got %q", id, r.Body)
 	}
-	if kind == "drafts" {
-		c.judgeStream(id, body)
+	if kind == rack.Draft {
+		c.judgeStream(id, r.Events)
 	}
 }
 
-func (c *callers) judgeStream(id, body string) {
-	next := 1
-	for _, line := range strings.Split(body, "\n") {
-		if value, ok := strings.CutPrefix(line, "id: "); ok {
-			if value != fmt.Sprint(next) {
-				c.breach("stream %s has event %s where %d was due", id, value, next)
-			}
-			next++
+func (c *callers) judgeStream(id string, events []string) {
+	for n, event := range events {
+		if event != strconv.Itoa(n+1) {
+			c.breach("stream %s has event %s where %d was due", id, event, n+1)
 		}
 	}
-	const events = 8
-	if next != events+1 {
-		c.breach("stream %s ended as whole after %d events", id, next-1)
+	if len(events) != rack.StreamEvents {
+		c.breach("stream %s ended as whole after %d events", id, len(events))
 	}
 }
--- a/millload/soak/fleet.go
+++ b/millload/soak/fleet.go
@@ -57,6 +57,7 @@
 	switches *faults.Switches
 	book     *rack.Book
 	group    *rack.Group
+	shape    rack.GroupConfig
 	hosts    []*host
 	targets  []*proxy // paths to engines and services
 	servers  []*http.Server
@@ -97,7 +98,7 @@
 		if err := f.listen(f.address(100+rank, enginePort), router(f.group.Routes(rank))); err != nil {
 			return err
 		}
-		if err := f.target(fmt.Sprintf("i-%d", rank), "draft", 100+rank, enginePort); err != nil {
+		if err := f.target(fmt.Sprintf("i-%d", rank), rack.DraftService, 100+rank, enginePort); err != nil {
 			return err
 		}
 	}
@@ -106,7 +107,7 @@
 		if err := f.listen(f.address(150+i, enginePort), router(f.book.Service(id, 10*time.Millisecond))); err != nil {
 			return err
 		}
-		if err := f.target(id, "roster", 150+i, enginePort); err != nil {
+		if err := f.target(id, rack.RosterService, 150+i, enginePort); err != nil {
 			return err
 		}
 	}
@@ -117,7 +118,7 @@
 // what leaders and their target daemons know, so drafts go there directly.
 func (f *fleet) target(id, service string, host, port int) error {
 	address := f.address(host, port)
-	if service == "roster" {
+	if service == rack.RosterService {
 		p, err := newProxy(f.address(host, port+1), address)
 		if err != nil {
 			return err
@@ -125,43 +126,15 @@
 		f.targets = append(f.targets, p)
 		address = f.address(host, port+1)
 	}
-	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 12, "state": "ready", "seq": 1,
-		"born": time.Now().UnixMilli(),
-	})
-	if err != nil {
-		return err
-	}
-	f.store.Put("keyed.servers", id, entry)
-	return nil
+	return f.store.Register(id, service, address)
 }
 
-// publish writes a configuration and returns its version. With the last key
-// removed, the organisation keeps the others.
-func (f *fleet) publish() int64 {
+// publish writes the next configuration.
+func (f *fleet) publish() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version += 3
-	routes := []map[string]any{
-		{"name": "drafts", "host": "h", "pathPrefix": "/drafts/", "kind": "stream", "timeoutMs": 6000, "goalMs": 400, "service": "draft", "maxAttempts": 2, "resumable": true},
-		{"name": "calls", "host": "h", "pathPrefix": "/calls/", "kind": "non_idempotent", "timeoutMs": 1500, "goalMs": 100, "service": "roster", "maxAttempts": 2},
-		{"name": "reads", "host": "h", "pathPrefix": "/reads/", "kind": "idempotent", "timeoutMs": 1500, "goalMs": 100, "service": "roster", "maxAttempts": 2},
-	}
-	for i := range f.routes {
-		routes = append(routes, map[string]any{"name": fmt.Sprint("x", i), "host": "h", "pathPrefix": fmt.Sprintf("/x%d/", i), "kind": "idempotent", "service": "roster"})
-	}
-	engine := map[string]any{"slots": 8, "sets": 2, "experts": 24, "placements": 10, "spare": 3, "step_ms": 5.0, "read_per_s": 60000.0}
-	raw, err := json.Marshal(map[string]any{
-		"version": f.version, "routes": routes,
-		"services": []map[string]any{{"name": "draft", "maxConns": 500, "engine": engine}, {"name": "roster", "maxConns": 200}},
-		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "clerks", "apiKeys": f.keys}},
-	})
-	if err != nil {
-		panic("soak: configuration cannot be encoded: " + err.Error()) // a mistake of this program
-	}
-	f.store.Put("keyed.op", "config", raw)
-	return f.version
+	return f.store.Publish(rack.Publication{Version: f.version, Keys: f.keys, ExtraRoutes: f.routes, Group: f.shape})
 }
 
 // addHost prepares a daemon.
@@ -183,7 +156,7 @@
 		settings["directory"] = fmt.Sprintf("%s:%d", h.ip, namesPort)
 	} else {
 		settings["engine"] = fmt.Sprintf("%s:%d", h.ip, enginePort)
-		settings["service"] = "draft"
+		settings["service"] = rack.DraftService
 	}
 	raw, err := json.Marshal(settings)
 	if err != nil {
@@ -252,12 +225,8 @@
 			if h.role != "entry" {
 				continue
 			}
-			answer, err := http.Get(fmt.Sprintf("http://%s:%d/api/ready", h.ip, readyPort))
-			if err == nil {
-				_ = answer.Body.Close()
-				if answer.StatusCode == http.StatusOK {
-					ready++
-				}
+			if rack.IsReady(ctx, http.DefaultClient, fmt.Sprintf("%s:%d", h.ip, readyPort)) {
+				ready++
 			}
 		}
 		if ready == f.config.Entries {
--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -53,19 +53,21 @@
 // Run plays one seed.
 func Run(ctx context.Context, c Config) (Report, error) {
 	book := rack.NewBook()
+	shape := rack.GroupConfig{
+		Ranks: c.Targets, Sets: 2, Experts: 24, Places: 10, Spare: 3, Slots: 8, PassEvery: 25 * time.Millisecond,
+		CopyTime: 150 * time.Millisecond, LatePart: 0.02,
+	}
 	f := &fleet{
 		config: c, net: fmt.Sprintf("127.%d.0", c.Net), store: rack.NewStore(), switches: &faults.Switches{}, book: book,
-		keys: []string{"key-0", "key-1", "key-2", "key-3", "key-4", "key-5"},
-		group: rack.NewGroup(rack.GroupConfig{
-			Ranks: c.Targets, Sets: 2, Experts: 24, Places: 10, Spare: 3, Slots: 8, PassEvery: 25 * time.Millisecond,
-			CopyTime: 150 * time.Millisecond, LatePart: 0.02,
-		}, book),
+		keys: []string{"key-0", "key-1", "key-2", "key-3", "key-4", "key-5"}, shape: shape, group: rack.NewGroup(shape, book),
 	}
 	defer f.close()
 	if err := f.startStandins(); err != nil {
 		return Report{}, err
 	}
-	f.publish()
+	if err := f.publish(); err != nil {
+		return Report{}, err
+	}
 	for n := range c.Entries {
 		if err := f.addHost("entry", 1+n); err != nil {
 			return Report{}, err
@@ -230,7 +232,7 @@
 			f.mu.Lock()
 			f.routes += 10
 			f.mu.Unlock()
-			f.publish()
+			f.mustPublish(people)
 		}
 	case 9:
 		return "key removed", 0, func() { f.revoke(people) }
@@ -248,8 +250,14 @@
 	key := f.keys[len(f.keys)-1]
 	f.keys = f.keys[:len(f.keys)-1]
 	f.mu.Unlock()
-	f.publish()
+	f.mustPublish(people)
 	people.mu.Lock()
 	defer people.mu.Unlock()
 	people.revoked[key] = time.Now()
 }
+
+func (f *fleet) mustPublish(people *callers) {
+	if err := f.publish(); err != nil {
+		people.breach("a configuration cannot be published: %v", err)
+	}
+}
--- a/standin/rack/book.go
+++ b/standin/rack/book.go
@@ -30,7 +30,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
-	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "clerks" {
+	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != Organisation {
 		b.breach("request %s reached %s with a key or without its organisation", r.Header.Get("Attempt-Id"), target)
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
--- a/standin/rack/group.go
+++ b/standin/rack/group.go
@@ -242,8 +242,8 @@
 	return http.StatusAccepted
 }
 
-// streamEvents is how many events a stream has.
-const streamEvents = 8
+// StreamEvents is how many events a stream has.
+const StreamEvents = 8
 
 func (g *Group) stream(w http.ResponseWriter, r *http.Request, rank int) {
 	id := g.engines[rank].id
@@ -274,7 +274,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Seal", id)
 	flush := http.NewResponseController(w)
-	for n := from; n <= streamEvents; n++ {
+	for n := from; n <= StreamEvents; n++ {
 		select {
 		case <-r.Context().Done():
 			return
--- /dev/null
+++ b/standin/rack/operator.go
@@ -0,0 +1,67 @@
+package rack
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// The services that are published.
+const (
+	DraftService  = "draft"
+	RosterService = "roster"
+)
+
+// Organisation is the one that holds all keys.
+const Organisation = "clerks"
+
+// Publication is one configuration.
+type Publication struct {
+	Version     int64
+	Keys        []string
+	ExtraRoutes int // beside those of the three kinds
+	Group       GroupConfig
+}
+
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// Publish writes a configuration into the store.
+func (s *Store) Publish(p Publication) error {
+	routes := []map[string]any{
+		{"name": "drafts", "host": Host, "pathPrefix": "/drafts/", "kind": "stream", "timeoutMs": 6000, "goalMs": 400, "service": DraftService, "maxAttempts": 2, "resumable": true},
+		{"name": "calls", "host": Host, "pathPrefix": "/calls/", "kind": "non_idempotent", "timeoutMs": 1500, "goalMs": 100, "service": RosterService, "maxAttempts": 2},
+		{"name": "reads", "host": Host, "pathPrefix": "/reads/", "kind": "idempotent", "timeoutMs": 1500, "goalMs": 100, "service": RosterService, "maxAttempts": 2},
+	}
+	for i := range p.ExtraRoutes {
+		routes = append(routes, map[string]any{"name": fmt.Sprint("x", i), "host": Host, "pathPrefix": fmt.Sprintf("/x%d/", i), "kind": "idempotent", "service": RosterService})
+	}
+	engine := map[string]any{
+		"slots": p.Group.Slots, "sets": p.Group.Sets, "experts": p.Group.Experts, "placements": p.Group.Places, "spare": p.Group.Spare,
+		"step_ms": 5.0, "read_per_s": 60000.0,
+	}
+	raw, err := json.Marshal(map[string]any{
+		"version": p.Version, "routes": routes,
+		"services": []map[string]any{{"name": DraftService, "maxConns": 500, "engine": engine}, {"name": RosterService, "maxConns": 200}},
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": Organisation, "apiKeys": p.Keys}},
+	})
+	if err != nil {
+		return err
+	}
+	s.Put("keyed.op", "config", raw)
+	return nil
+}
+
+// Register writes a target's entry into the store.
+func (s *Store) Register(id, service, address string) error {
+	entry, err := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 12, "state": "ready", "seq": 1,
+		"born": time.Now().UnixMilli(),
+	})
+	if err != nil {
+		return err
+	}
+	s.Put("keyed.servers", id, entry)
+	return nil
+}
