Metrics of what is dropped, aged and led; one way to ask whether a request was sent

Read as a newcomer: a failed read of the layout had no log line, dropped lines and datagrams were counted and shown nowhere, and whether a request was sent was asked by two functions. Behaviour is unchanged.

--- a/entryd/front/front.go
+++ b/entryd/front/front.go
@@ -125,6 +125,12 @@
 	if err != nil {
 		return err
 	}
+	f.metrics.set.NewGauge(`camphormill_datagrams_dropped`, func() float64 { return float64(f.mesh.Dropped()) })
+	f.metrics.set.NewGauge(`camphormill_routes_age_seconds`, func() float64 {
+		age, _ := f.board.Age()
+		return age.Seconds()
+	})
+	f.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(f.client.Opened()) })
 	f.board = bulletin.New(bulletin.Config{
 		Store: c.Store, Mesh: f.mesh, Clock: freshness.Now, Now: time.Now, Log: daemon.Part(c.Log, "board"),
 		Changed: func(r registry.Registry) { f.relay.TargetsChanged(r) },
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -66,7 +66,7 @@
 
 // failed tells what an exchange without an answer means.
 func (y *Relay) failed(ctx context.Context, c *call, t registry.Target, err error) result {
-	sent := isSent(err)
+	sent := exchange.WasSent(err)
 	y.config.Log.Info().Str("request", c.envelope.ID).Str("target", t.ID).Bool("sent", sent).Err(err).Msg("attempt has no answer")
 	r := result{sent: sent, ran: sent, refusal: refusal{http.StatusServiceUnavailable, "target_unreached", soon}}
 	if sent {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/bulletin"
@@ -425,9 +424,3 @@
 		h.Del(name)
 	}
 }
-
-// isSent says whether a failed exchange may have reached the target.
-func isSent(err error) bool {
-	var notSent *exchange.NotSentError
-	return !errors.As(err, &notSent)
-}
--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -88,6 +88,7 @@
 func NewOperationsRouter(set *metrics.Set, r *Readiness) chi.Router {
 	set.NewGauge(`camphormill_link_bytes{direction="sent"}`, func() float64 { return float64(link.Sent()) })
 	set.NewGauge(`camphormill_link_bytes{direction="received"}`, func() float64 { return float64(link.Received()) })
+	set.NewGauge(`camphormill_log_lines_dropped`, func() float64 { return float64(droppedLines.Load()) })
 	router := chi.NewRouter()
 	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/parts/daemon/logwriter.go
+++ b/parts/daemon/logwriter.go
@@ -10,6 +10,9 @@
 // some seconds of a busy daemon, in a few hundred kilobytes.
 const logBuffer = 2048
 
+// droppedLines counts the lines that all log writers of the process have lost.
+var droppedLines atomic.Int64
+
 // LogWriter passes lines on without ever blocking the writer. Lines that find no
 // room are dropped and counted. It is safe for concurrent use.
 type LogWriter struct {
@@ -34,7 +37,7 @@
 			return
 		}
 		if _, err := w.to.Write(line); err != nil {
-			w.dropped.Add(1) // nobody reads; there is no other place to tell it
+			w.drop() // nobody reads; there is no other place to tell it
 		}
 	}
 }
@@ -44,11 +47,16 @@
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop()
 	}
 	return len(line), nil
 }
 
+func (w *LogWriter) drop() {
+	w.dropped.Add(1)
+	droppedLines.Add(1)
+}
+
 // Dropped counts the lines that were lost.
 func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
 
--- a/targetd/ranks/agent.go
+++ b/targetd/ranks/agent.go
@@ -124,7 +124,10 @@
 	var choices []int64
 	if report.Group != "" {
 		if stale {
-			if l, err := a.config.Engine.Layout(ctx); err == nil && l.Map == report.View.Map {
+			l, err := a.config.Engine.Layout(ctx)
+			if err != nil {
+				a.config.Log.Warn().Err(err).Msg("layout of the engine cannot be read; no switch begins before it can")
+			} else if l.Map == report.View.Map {
 				layout = &l
 			}
 		}
--- a/targetd/ranks/services.go
+++ b/targetd/ranks/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/parts/daemon"
@@ -23,7 +24,9 @@
 	Self  mesh.Host
 	Hosts mesh.List
 	Agent Config
-	Log   zerolog.Logger
+	// Metrics gets what the agent counts.
+	Metrics *metrics.Set
+	Log     zerolog.Logger
 }
 
 // Services registers the services of a target daemon with a kernel.
@@ -44,6 +47,13 @@
 		config := c.Agent
 		config.Self, config.Mesh = c.Self, m
 		agent = New(config)
+		c.Metrics.NewGauge(`camphormill_group_leads`, func() float64 {
+			if agent.Leads() {
+				return 1
+			}
+			return 0
+		})
+		c.Metrics.NewGauge(`camphormill_datagrams_dropped`, func() float64 { return float64(m.Dropped()) })
 		return agent, nil
 	}
 	k.Register(kernel.Service{Name: "agent", Start: start})
