--- a/camphormill/story/story_test.go
+++ b/camphormill/story/story_test.go
@@ -42,6 +42,9 @@
 		"refused":  "no place",
 		"revoked":  "no organisation holds its key",
 		"outdated": "could not prove that the key still holds",
+		"broken":   "its stream broke off",
+		"timeout":  "its time was over while a target worked on it",
+		"unknown":  "its answer was lost; it may have run",
 	} {
 		raw, err := os.ReadFile("testdata/" + request + ".log")
 		is.NoErr(err)
