--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -155,12 +155,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
+	_, again := l.askers[a.ID]
 	l.askers[a.ID] = from.Name
 	v := l.placer.Offer(now, rankload.Request{
 		ID: a.ID, Organisation: a.Organisation, Fingerprint: a.Fingerprint, Prompt: a.Prompt, Not: a.Not,
 		StartBy: now.Add(time.Duration(a.StartInMS) * time.Millisecond),
 		Latest:  now.Add(time.Duration(a.LatestInMS) * time.Millisecond),
 	})
+	if again && v.Wait {
+		// It asks again in case the first word was lost; the log has it.
+		l.config.Mesh.Send(from.Name, mesh.Message{Verdict: &mesh.Verdict{ID: a.ID, Wait: true}})
+		return
+	}
 	l.send([]rankload.Verdict{v})
 }
 
@@ -183,7 +189,7 @@
 			answer.ReturnInMS = int(max(v.Return.Sub(now), 0).Milliseconds())
 			delete(l.askers, v.ID)
 		}
-		l.log.Debug().Str("request", v.ID).Str("engine", v.Engine).Bool("wait", v.Wait).Int("return_in_ms", answer.ReturnInMS).
+		l.log.Info().Str("request", v.ID).Str("engine", v.Engine).Bool("wait", v.Wait).Int("return_in_ms", answer.ReturnInMS).
 			Int("running", l.placer.Running()).Int("waiting", l.placer.Waiting()).Msg("place decided")
 		l.config.Mesh.Send(host, mesh.Message{Verdict: &answer})
 	}
