--- a/millload/soak/fleet.go
+++ b/millload/soak/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,7 @@
 	version  int64
 	routes   int
 	keys     []string
+	outage   atomic.Bool // the long one
 
 	mu sync.Mutex
 }
@@ -104,7 +106,7 @@
 	}
 	for i := range f.config.Services {
 		id := fmt.Sprintf("r-%d", i)
-		if err := f.listen(f.address(150+i, enginePort), router(f.book.Service(id, 10*time.Millisecond))); err != nil {
+		if err := f.listen(f.address(150+i, enginePort), router(f.book.Service(id, serviceWork, lostPart))); err != nil {
 			return err
 		}
 		if err := f.target(id, rack.RosterService, 150+i, enginePort); err != nil {
--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -46,6 +46,14 @@
 	// calmTime how long they are counted then.
 	recoveryTime = 12 * time.Second
 	calmTime     = 3 * time.Second
+	// serviceWork is what a plain target takes, and lostPart the share of answers
+	// that it loses.
+	serviceWork = 30 * time.Millisecond
+	lostPart    = 0.02
+	// longFault is how long some faults last: longer than a removed key may work.
+	longFault = 8 * time.Second
+	// shiftEvery is how often demand for experts drifts beside the drawn faults.
+	shiftEvery = 1500 * time.Millisecond
 	// leastRecovered is the share of requests that must be served then.
 	leastRecovered = 0.9
 )
@@ -55,7 +63,7 @@
 	book := rack.NewBook()
 	shape := rack.GroupConfig{
 		Ranks: c.Targets, Sets: 2, Experts: 24, Places: 10, Spare: 3, Slots: 8, PassEvery: 25 * time.Millisecond,
-		CopyTime: 150 * time.Millisecond, LatePart: 0.02,
+		CopyTime: 150 * time.Millisecond, LatePart: 0.08, CutPart: 0.01,
 	}
 	f := &fleet{
 		config: c, net: fmt.Sprintf("127.%d.0", c.Net), store: rack.NewStore(), switches: &faults.Switches{}, book: book,
@@ -165,6 +173,24 @@
 	done := &sync.WaitGroup{}
 	var log []string
 	began := time.Now()
+	done.Go(func() {
+		for time.Since(began) < f.config.For && ctx.Err() == nil {
+			sleep(ctx, shiftEvery)
+			f.group.Shift()
+		}
+	})
+	// Every run has one long outage of the store in which a key is removed.
+	outage := time.Duration(rng.Int64N(int64(f.config.For/2) + 1))
+	done.Go(func() {
+		sleep(ctx, outage)
+		f.outage.Store(true)
+		f.switches.Set(faults.Mode{Down: true})
+		f.revoke(people)
+		sleep(ctx, longFault)
+		f.outage.Store(false)
+		f.switches.Set(faults.Mode{})
+	})
+	log = append(log, fmt.Sprintf("%.1f s store down and key removed for %s", outage.Seconds(), longFault))
 	for time.Since(began) < f.config.For && ctx.Err() == nil {
 		name, lasts, fault := f.draw(rng, people)
 		log = append(log, fmt.Sprintf("%.1f s %s for %s", time.Since(began).Seconds(), name, lasts.Round(100*time.Millisecond)))
@@ -177,6 +203,10 @@
 // draw chooses a fault.
 func (f *fleet) draw(rng *rand.Rand, people *callers) (string, time.Duration, func()) {
 	lasts := time.Duration(300+rng.IntN(3500)) * time.Millisecond
+	const longShare = 6 // one fault in so many lasts long
+	if rng.IntN(longShare) == 0 {
+		lasts = longFault
+	}
 	h := f.hosts[rng.IntN(len(f.hosts))]
 	choice := rng.IntN(11)
 	state := path(1 + rng.IntN(4))
@@ -223,9 +253,9 @@
 		}
 	case 7:
 		return fmt.Sprintf("store %+v", mode), lasts, func() {
-			f.switches.Set(mode)
+			f.switchStore(mode)
 			time.Sleep(lasts)
-			f.switches.Set(faults.Mode{})
+			f.switchStore(faults.Mode{})
 		}
 	case 8:
 		return "configuration", 0, func() {
@@ -240,6 +270,13 @@
 	return "shift", 0, f.group.Shift
 }
 
+// switchStore changes how the store behaves, but for the long outage.
+func (f *fleet) switchStore(mode faults.Mode) {
+	if !f.outage.Load() {
+		f.switches.Set(mode)
+	}
+}
+
 // revoke removes a key, but never the last two.
 func (f *fleet) revoke(people *callers) {
 	f.mu.Lock()
--- a/standin/rack/book.go
+++ b/standin/rack/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -78,8 +79,9 @@
 	return append([]string(nil), b.broken...)
 }
 
-// Service serves one target of a plain service.
-func (b *Book) Service(id string, work time.Duration) func(r chi.Router) {
+// Service serves one target of a plain service, which loses a share of its answers
+// after it has run the request.
+func (b *Book) Service(id string, work time.Duration, lost float64) func(r chi.Router) {
 	return func(r chi.Router) {
 		r.HandleFunc("/*", func(w http.ResponseWriter, r *http.Request) {
 			if !b.begin(w, r, id) {
@@ -87,6 +89,9 @@
 			}
 			b.run(r, id)
 			time.Sleep(work)
+			if rand.Float64() < lost {
+				panic(http.ErrAbortHandler)
+			}
 			w.Header().Set("Response-Seal", id)
 			_, _ = io.WriteString(w, "answer to "+r.Header.Get("Attempt-Id")) // a caller who has gone needs none
 		})
--- a/standin/rack/group.go
+++ b/standin/rack/group.go
@@ -20,6 +20,8 @@
 	CopyTime                                   time.Duration // of a prepare
 	// LatePart is the share of orders that are carried out late and unanswered.
 	LatePart float64
+	// CutPart is the share of events at which a stream is cut off.
+	CutPart float64
 }
 
 // Group is a lock-step group of engines. It is safe for concurrent use.
@@ -280,6 +282,11 @@
 			return
 		case <-time.After(2 * g.config.PassEvery):
 		}
+		if rand.Float64() < g.config.CutPart {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n) // in the middle of an event
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 20)) // a caller who has gone ends the context
 		_ = flush.Flush()
 	}
