--- a/targetd/ranks/group_test.go
+++ b/targetd/ranks/group_test.go
@@ -90,6 +90,15 @@
 	return g.pass
 }
 
+// freeze freezes the daemon of a host for good, once.
+func (g *group) freeze(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen == "" {
+		g.frozen, g.heldAt = host, time.Now()
+	}
+}
+
 // stopped blocks the daemon of a host while it is frozen.
 func (g *group) stopped(host string) bool {
 	g.mu.Lock()
@@ -187,11 +196,7 @@
 				<-ctx.Done()
 			}
 			if g.freezeAtHold && o.Kind == mapswitch.Hold {
-				g.mu.Lock()
-				if g.frozen == "" {
-					g.frozen, g.heldAt = host, time.Now()
-				}
-				g.mu.Unlock()
+				g.freeze(host)
 			}
 			return g.order(engines[address], o, layout), nil
 		},
@@ -213,7 +218,7 @@
 		engines[hosts[i].Engine] = i
 		is.NoErr(probe.Close())
 	}
-	hosts = append(hosts, g.startEntry(t, ctx))
+	hosts = append(hosts, g.startEntry(t, ctx, engines))
 	var mu sync.Mutex
 	claims := int64(0)
 	for i, host := range hosts[:groupRanks] {
@@ -255,9 +260,9 @@
 	go g.run(ctx)
 }
 
-// startEntry runs what an entry does for a group: it knows the shape. It gives no
-// orders, so that leaders give them themselves.
-func (g *group) startEntry(t *testing.T, ctx context.Context) mesh.Host {
+// startEntry runs what an entry does for a group: it knows the shape and gives
+// orders.
+func (g *group) startEntry(t *testing.T, ctx context.Context, engines map[string]int) mesh.Host {
 	t.Helper()
 	is := is.New(t)
 	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -271,6 +276,13 @@
 			if message.AskShape == "s" {
 				m.Send(from.Name, mesh.Message{Shape: &mesh.Shape{Service: "s", Engine: shape}})
 			}
+			if o := message.Order; o != nil {
+				if g.freezeAtHold && o.Order.Kind == mapswitch.Hold {
+					g.freeze(from.Name)
+				}
+				result := g.order(engines[o.Engine], o.Order, nil)
+				m.Send(o.Leader, mesh.Message{Ordered: &mesh.Ordered{ID: o.ID, Result: result}})
+			}
 		},
 	})
 	is.NoErr(err)
