Relay: a connection's deadline that fires first is the route's time-out too

The connection's deadline can fire a moment before the context's; the target was then blamed and the reason was wrong. Change: time counts as over by the clock as well. Test: the one that found it, 12 times green.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -74,7 +74,7 @@
 		c.ranOnce = true
 		r.refusal = refusal{status: http.StatusBadGateway, reason: "answer_lost"}
 	}
-	if ctx.Err() != nil {
+	if y.over(ctx, c) {
 		return r // the caller or the time ended it, not the target
 	}
 	y.loads.failed(y.config.Now(), t.ID, sent)
@@ -150,7 +150,7 @@
 // brokenAnswer is an answer that ended early, with none of it passed on.
 func (y *Relay) brokenAnswer(ctx context.Context, c *call, t registry.Target, err error) result {
 	y.config.Log.Info().Str("request", c.envelope.ID).Str("target", t.ID).Err(err).Msg("answer broke off")
-	if ctx.Err() == nil {
+	if !y.over(ctx, c) {
 		y.loads.failed(y.config.Now(), t.ID, true)
 		y.checkAlive(c, t)
 	}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -262,13 +262,19 @@
 		}
 		last = result.refusal
 		c.failed = append(c.failed, target.ID)
-		if ctx.Err() != nil || !y.mayGoOn(c, result) {
+		if y.over(ctx, c) || !y.mayGoOn(c, result) {
 			break
 		}
 	}
 	return y.giveUp(ctx, c, last)
 }
 
+// over says whether the caller has left or the time is up. The connection's own
+// deadline may fire a moment before the context's.
+func (y *Relay) over(ctx context.Context, c *call) bool {
+	return ctx.Err() != nil || !y.config.Now().Before(c.deadline)
+}
+
 // giveUp ends a request without a whole answer of a target.
 func (y *Relay) giveUp(ctx context.Context, c *call, last refusal) bool {
 	if c.wrote {
@@ -276,14 +282,14 @@
 		return true
 	}
 	switch {
-	case c.ranOnce && ctx.Err() != nil:
+	case c.ranOnce && y.over(ctx, c):
 		last = refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case c.ranOnce && !c.route.MayRepeat():
 		last = refusal{status: http.StatusBadGateway, reason: last.reason}
 	case c.ranOnce:
 		// It may have run, and may run again.
 		last.status = http.StatusBadGateway
-	case ctx.Err() != nil:
+	case y.over(ctx, c):
 		last = refusal{http.StatusServiceUnavailable, "timeout_waiting", soon}
 	}
 	y.refuse(c, last)
