Ranks: a slow rank's switch is waited for, and led at the next pass

Cause: with a rank 12 times slower a pass takes 0.4 to 0.9 s. Ruled out: copies (0.2 s), lost orders (none), a deposed leader (none). Change: no plan while a rank is armed; the held pass lies as many passes ahead as orders take, one when passes are long; idle time is no pass.

--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -70,7 +70,7 @@
 	Experts int     `json:"experts"` // in each set
 	Places  int     `json:"places"`  // experts that a rank holds at most, in each set
 	Spare   int     `json:"spare"`   // experts that a rank can fetch at once, in each set
-	PassMS  float64 `json:"pass_ms"` // of a pass that writes one token per request
+	PassMS  float64 `json:"pass_ms"` // of a pass without requests
 	ReadPS  float64 `json:"read_ps"` // prompt tokens that a rank reads in a second
 }
 
--- a/targetd/ranks/group_test.go
+++ b/targetd/ranks/group_test.go
@@ -319,6 +319,27 @@
 	is.True(!mixed)
 }
 
+// TestSwitchWaitsForSlowPasses plays a rank that is twelve times slower than usual:
+// the held pass begins more than a second after the switch was led. Meanwhile the
+// armed engines refuse another map, which a leader must not begin to prepare.
+func TestSwitchWaitsForSlowPasses(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGroup(1200 * time.Millisecond)
+	g.start(t, ctx)
+	var version mapswitch.Version
+	deadline := time.Now().Add(15 * time.Second)
+	for version == 0 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+		version, _, _ = g.versions()
+	}
+	is.Equal(version, mapswitch.Version(1)) // the group has changed its map
+	_, mixed, refused := g.versions()
+	is.Equal(refused, 0)
+	is.True(!mixed)
+}
+
 // TestFrozenLeaderLeavesNothingHeld freezes the leader's daemon right after it has
 // held a pass. The others must let the group go on within a second and a half,
 // past the frozen daemon, and under one map.
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -38,9 +38,6 @@
 	prepareTime = 2500 * time.Millisecond
 	// holdTime bounds how long the group may wait for all ranks to be armed.
 	holdTime = 500 * time.Millisecond
-	// ahead is how many passes lie before the held one: some 40 ms each, against
-	// two messages and an order.
-	ahead mapswitch.Pass = 3
 	// longPass is when passes are so long that layouts are evened out as far as
 	// they can: half of the pause between events that users allow.
 	longPass = 60 * time.Millisecond
@@ -50,7 +47,8 @@
 	// worthwhile is by how much a switch must lower the skew, below which copies
 	// slow passes more than they help.
 	worthwhile = 0.15
-	// arrivalTime bounds the wait for the held pass after a switch.
+	// arrivalTime bounds the wait, after a switch, for ranks that do not say that
+	// they are armed for it nor that it is in force.
 	arrivalTime = time.Second
 	// fencesASwitch: one to lead it, one to undo it.
 	fencesASwitch = 2
--- a/targetd/ranks/reports.go
+++ b/targetd/ranks/reports.go
@@ -175,6 +175,17 @@
 	l.placer.SetRanks(usable)
 }
 
+// leastPass is how long a pass takes at least: all ranks wait for the slowest.
+func (l *leader) leastPass(now time.Time) time.Duration {
+	pace := 1.0
+	for _, r := range l.ranks {
+		if now.Sub(r.at) < rankAge {
+			pace = max(pace, r.rank.Pace)
+		}
+	}
+	return time.Duration(l.shape.PassMS * pace * float64(time.Millisecond))
+}
+
 func sortedRanks(ranks map[int]rankState) []int {
 	order := make([]int, 0, len(ranks))
 	for i := range ranks {
--- a/targetd/ranks/switching.go
+++ b/targetd/ranks/switching.go
@@ -48,7 +48,7 @@
 		}
 	}
 	c := mapswitch.Config{
-		Fence: l.next, Epoch: l.ranks[0].rank.View.Epoch, Ranks: len(l.ranks), Version: version, Holder: holder, Ahead: ahead,
+		Fence: l.next, Epoch: l.ranks[0].rank.View.Epoch, Ranks: len(l.ranks), Version: version, Holder: holder, Ahead: l.pace.ahead(l.leastPass(l.config.Now())),
 	}
 	l.next += fencesASwitch
 	return c
@@ -111,9 +111,15 @@
 	l.start(now, mapswitch.New(l.switchConfig(version+1)))
 }
 
-// arrived says whether the last switch has taken effect at every rank. An idle
-// group makes no passes; a new epoch has forgotten the switch.
+// arrived says whether the last switch has taken effect at every rank. An armed
+// engine takes no other map, however long its pass lasts; a new epoch has forgotten
+// the switch.
 func (l *leader) arrived(now time.Time) bool {
+	for _, r := range l.ranks {
+		if r.rank.View.Armed != 0 {
+			return false
+		}
+	}
 	if l.awaited == 0 || now.Sub(l.awaitAt) > arrivalTime {
 		return true
 	}
