Places: requests of a slow rank go on at other ranks

Cause: all ranks of a group wait for the slowest for as long as that one has requests of its own. A rank twelve times slower kept its streams to their end, or to their callers' time limit, and every pass took 0.4 to 0.9 s meanwhile. Ruled out: that a pass cannot be shorter than 29 ms times the slowest pace, as docs/MEASUREMENTS.md had it: passes took 67 ms while the rank was still slow, from the moment its last stream had ended. Change: the group's leader moves what may be repeated away from ranks that are too slow for any request, and counts no places there; the entry leaves the attempt, within its retry budget and the route's attempts, and goes on behind the last event that has left.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"camphormill.dev/parts/exchange"
 	"camphormill.dev/parts/registry"
 	"camphormill.dev/parts/routes"
@@ -23,11 +25,23 @@
 	broken   bool
 	sent     bool // the target may have seen it
 	ran      bool // the target may have run it
+	moved    bool // it was left for another target
 	refusal  refusal
 }
 
+// errMoved ends an attempt whose request goes on at another target.
+var errMoved = errors.New("the request goes on at another target")
+
+// moved says whether the attempt was left for another target.
+func moved(ctx context.Context) bool { return context.Cause(ctx) == errMoved }
+
 // attempt sends the request to one target.
-func (y *Relay) attempt(ctx context.Context, c *call, t registry.Target) result {
+func (y *Relay) attempt(ctx context.Context, c *call, t registry.Target, at place) result {
+	ctx, leave := context.WithCancelCause(ctx)
+	defer leave(nil)
+	if y.movable(c) {
+		y.config.Places.runs(at, func() bool { return y.leave(c.service.Name, leave) })
+	}
 	y.loads.begin(t.ID)
 	defer y.loads.end(t.ID)
 	c.target = t.ID
@@ -64,6 +78,17 @@
 	return y.pass(ctx, c, t, answer)
 }
 
+// leave ends an attempt for a move, which counts as a retry.
+func (y *Relay) leave(service string, leave context.CancelCauseFunc) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if !y.budget(service).Retry() {
+		return false
+	}
+	leave(errMoved)
+	return true
+}
+
 // failed tells what an exchange without an answer means.
 func (y *Relay) failed(ctx context.Context, c *call, t registry.Target, err error) result {
 	sent := exchange.WasSent(err)
@@ -74,6 +99,10 @@
 		c.ranOnce = true
 		r.refusal = refusal{status: http.StatusBadGateway, reason: "answer_lost"}
 	}
+	if moved(ctx) {
+		r.moved = true
+		return r
+	}
 	if y.over(ctx, c) {
 		return r // the caller or the time ended it, not the target
 	}
@@ -109,15 +138,15 @@
 		if c.route.Repeat == routes.Idempotent && c.attempts < c.route.MaxAttempts && y.mayGoOn(c, result{sent: true, ran: true}) {
 			y.config.Log.Info().Str("request", c.envelope.ID).Str("target", t.ID).Int("status", a.StatusCode).Msg("target failed; another is tried")
 			c.failed = append(c.failed, t.ID)
-			next, release, no := y.choose(ctx, c)
+			next, at, no := y.choose(ctx, c)
 			if no == nil && next.ID != t.ID {
-				again := y.attempt(ctx, c, next)
-				release()
+				again := y.attempt(ctx, c, next, at)
+				at.release()
 				if again.answered {
 					return again
 				}
 			} else if no == nil {
-				release()
+				at.release()
 			}
 		}
 	} else {
@@ -149,6 +178,9 @@
 
 // brokenAnswer is an answer that ended early, with none of it passed on.
 func (y *Relay) brokenAnswer(ctx context.Context, c *call, t registry.Target, err error) result {
+	if moved(ctx) {
+		return result{moved: true, sent: true, ran: true, refusal: refusal{status: http.StatusBadGateway, reason: "answer_broken"}}
+	}
 	y.config.Log.Info().Str("request", c.envelope.ID).Str("target", t.ID).Err(err).Msg("answer broke off")
 	if !y.over(ctx, c) {
 		y.loads.failed(y.config.Now(), t.ID, true)
--- /dev/null
+++ b/entryd/relay/move_test.go
@@ -0,0 +1,134 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/routes"
+)
+
+// freeAddress returns a loopback address for datagrams.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = probe.Close() }()
+	return probe.LocalAddr().String()
+}
+
+// lead makes a leader for the entry's group, which gives every request its place at
+// the first target, and moves it to the second some time later.
+func (e *entry) lead(t *testing.T, after time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	hosts := []mesh.Host{e.mesh.Self(), {Name: "leader", Role: mesh.Target, Address: freeAddress(t), Zone: "z", Engine: "unused"}}
+	var m *mesh.Mesh
+	var mu sync.Mutex
+	var asks []mesh.Ask
+	m, err := mesh.Listen(mesh.Config{
+		Self: hosts[1], Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
+		Handle: func(from mesh.Host, message mesh.Message) {
+			a := message.Ask
+			if a == nil {
+				return
+			}
+			m.Send(from.Name, mesh.Message{Verdict: &mesh.Verdict{ID: a.ID, Engine: e.addresses[0]}})
+			mu.Lock()
+			asks = append(asks, *a)
+			mu.Unlock()
+			if !a.Movable {
+				return
+			}
+			// Told more often than needed, as when datagrams get lost.
+			for i := range 3 {
+				time.AfterFunc(after+time.Duration(i)*20*time.Millisecond, func() {
+					m.Send(from.Name, mesh.Message{Verdict: &mesh.Verdict{ID: a.ID, Engine: e.addresses[1], Moved: true}})
+				})
+			}
+		},
+	})
+	is.NoErr(err)
+	go m.Run(t.Context())
+	list := mesh.List{
+		Register: func(context.Context, mesh.Host) error { return nil },
+		Hosts:    func(context.Context) ([]mesh.Host, error) { return hosts, nil },
+	}
+	go m.Join(t.Context(), list)
+	go e.mesh.Join(t.Context(), list)
+	for i := 0; len(m.Known(mesh.Entry)) == 0 && i < 200; i++ {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(len(m.Known(mesh.Entry)) > 0)
+	e.places.Handle(hosts[1], mesh.Message{Lead: &mesh.Lead{Service: "s", Group: "g", Fence: 1, Open: true}})
+}
+
+// slowEvents sends one event and then none while its caller waits, as an engine does
+// that holds its group up.
+func slowEvents(left chan<- struct{}) func(e *entry, w http.ResponseWriter, r *http.Request) {
+	return func(e *entry, w http.ResponseWriter, r *http.Request) {
+		e.ran("slow", r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		left <- struct{}{}
+	}
+}
+
+func restOfEvents(e *entry, w http.ResponseWriter, r *http.Request) {
+	e.ran("fast", r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	if r.Header.Get("After") != "1" {
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	}
+	_, _ = fmt.Fprint(w, "id: 2\ndata: b\n\n")
+}
+
+func streamRoute(attempts int) routes.Route {
+	return routes.Route{Repeat: routes.Stream, Resumable: true, MaxAttempts: attempts, Timeout: 2 * time.Second}
+}
+
+// TestStreamGoesOnWhereItsLeaderMovesIt has a rank that became slow in the middle of
+// a stream: the caller gets each event once, and the slow engine is rid of it at once.
+func TestStreamGoesOnWhereItsLeaderMovesIt(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{}, 1)
+	e := startWith(t, streamRoute(2), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, slowEvents(left), restOfEvents)
+	e.lead(t, 200*time.Millisecond)
+	began := time.Now()
+	status, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	is.True(time.Since(began) < time.Second)
+	<-left
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(strings.Join(e.runs, ","), "slow a1,fast a1")
+}
+
+// TestRequestThatMayNotGoOnStays has a route that allows one attempt: its request is
+// not offered for a move.
+func TestRequestThatMayNotGoOnStays(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{}, 1)
+	e := startWith(t, streamRoute(1), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, slowEvents(left), restOfEvents)
+	e.lead(t, 100*time.Millisecond)
+	_, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.True(err != nil) // broken off at the route's timeout
+	is.Equal(body, "id: 1\ndata: a\n\n")
+	<-left
+	is.Equal(e.runCount(), 1)
+}
--- a/entryd/relay/places.go
+++ b/entryd/relay/places.go
@@ -42,6 +42,15 @@
 	mu      sync.Mutex
 	leaders map[string]groupLeader // by service
 	asks    map[string]chan mesh.Verdict
+	running map[string]*seat
+}
+
+// seat is a place that a running request holds. Its engine changes when the leader
+// moves the request.
+type seat struct {
+	engine string
+	// leave ends the attempt at the old engine and says whether it did.
+	leave func() bool
 }
 
 type groupLeader struct {
@@ -53,7 +62,7 @@
 
 // NewPlaces returns a Places that knows no leader.
 func NewPlaces(c PlacesConfig) *Places {
-	return &Places{config: c, leaders: map[string]groupLeader{}, asks: map[string]chan mesh.Verdict{}}
+	return &Places{config: c, leaders: map[string]groupLeader{}, asks: map[string]chan mesh.Verdict{}, running: map[string]*seat{}}
 }
 
 // Handle takes a message of a leader.
@@ -61,6 +70,8 @@
 	switch {
 	case m.Lead != nil:
 		p.follow(from, *m.Lead)
+	case m.Verdict != nil && m.Verdict.Moved:
+		p.move(*m.Verdict)
 	case m.Verdict != nil:
 		p.mu.Lock()
 		answer, ok := p.asks[m.Verdict.ID]
@@ -74,6 +85,39 @@
 	}
 }
 
+// move makes a running request go on at another engine. A move that was told before
+// changes nothing.
+func (p *Places) move(v mesh.Verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.running[v.ID]
+	if !ok || s.engine == v.Engine || s.leave == nil || !s.leave() {
+		return
+	}
+	p.config.Log.Info().Str("request", v.ID).Str("from", s.engine).Str("to", v.Engine).Msg("request is moved by its group's leader")
+	s.engine, s.leave = v.Engine, nil
+}
+
+// runs notes how the request that holds the place leaves its engine; it is called
+// before each attempt.
+func (p *Places) runs(at place, leave func() bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.running[at.id]; ok {
+		s.leave = leave
+	}
+}
+
+// moved returns the engine at which the place is now.
+func (p *Places) moved(at place) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.running[at.id]; ok {
+		return s.engine
+	}
+	return at.engine
+}
+
 func (p *Places) follow(from mesh.Host, lead mesh.Lead) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,6 +142,7 @@
 
 // place is a verdict as the entry acts on it.
 type place struct {
+	id      string
 	engine  string
 	refused bool
 	comeIn  time.Duration
@@ -130,6 +175,9 @@
 		p.mu.Unlock()
 	}()
 	release := func() {
+		p.mu.Lock()
+		delete(p.running, a.ID)
+		p.mu.Unlock()
 		p.config.Mesh.Send(leader.host, mesh.Message{Release: &mesh.Release{ID: a.ID, Service: a.Service}})
 	}
 	v, ok := p.await(ctx, leader.host, a, answer)
@@ -143,7 +191,10 @@
 		none.refused, none.comeIn = true, time.Duration(v.ReturnInMS)*time.Millisecond
 		return none
 	}
-	return place{engine: v.Engine, release: release}
+	p.mu.Lock()
+	p.running[a.ID] = &seat{engine: v.Engine}
+	p.mu.Unlock()
+	return place{id: a.ID, engine: v.Engine, release: release}
 }
 
 func (p *Places) await(ctx context.Context, leader string, a mesh.Ask, answer chan mesh.Verdict) (mesh.Verdict, bool) {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -250,13 +250,20 @@
 func (y *Relay) run(ctx context.Context, c *call) bool {
 	var last refusal
 	for {
-		target, release, no := y.choose(ctx, c)
+		target, at, no := y.choose(ctx, c)
 		if no != nil {
 			last = *no
 			break
 		}
-		result := y.attempt(ctx, c, target)
-		release()
+		result := y.attempt(ctx, c, target, at)
+		if result.moved {
+			if next, ok := y.serving(c, y.config.Places.moved(at)); ok {
+				c.failed = append(c.failed, target.ID)
+				target = next
+				result = y.attempt(ctx, c, target, at)
+			}
+		}
+		at.release()
 		if result.answered {
 			return result.broken
 		}
@@ -269,6 +276,11 @@
 	return y.giveUp(ctx, c, last)
 }
 
+// movable says whether the next attempt may be left for another target.
+func (y *Relay) movable(c *call) bool {
+	return c.route.MayRepeat() && c.attempts+1 < c.route.MaxAttempts
+}
+
 // over says whether the caller has left or the time is up. The connection's own
 // deadline may fire a moment before the context's.
 func (y *Relay) over(ctx context.Context, c *call) bool {
@@ -321,17 +333,17 @@
 }
 
 // choose picks a target: by the group's leader, or by the entry's own view.
-func (y *Relay) choose(ctx context.Context, c *call) (registry.Target, func(), *refusal) {
+func (y *Relay) choose(ctx context.Context, c *call) (registry.Target, place, *refusal) {
 	targets := y.config.Board.Targets()
-	none := func() {}
+	none := place{release: func() {}}
 	if needsPlace(c.service) {
 		p := y.config.Places.ask(ctx, y.askFor(c, targets))
 		if p.refused {
 			return registry.Target{}, none, &refusal{http.StatusServiceUnavailable, "no_place", p.comeIn}
 		}
 		if p.engine != "" {
-			if t, ok := targets.AtAddress(p.engine); ok && t.Service == c.service.Name && t.State == registry.Ready {
-				return t, p.release, nil
+			if t, ok := y.serving(c, p.engine); ok {
+				return t, p, nil
 			}
 			p.release()
 		}
@@ -343,6 +355,12 @@
 	return t, none, nil
 }
 
+// serving returns the target at an engine's address when it takes the request.
+func (y *Relay) serving(c *call, engine string) (registry.Target, bool) {
+	t, ok := y.config.Board.Targets().AtAddress(engine)
+	return t, ok && t.Service == c.service.Name && t.State == registry.Ready
+}
+
 // askFor says what the request needs.
 func (y *Relay) askFor(c *call, targets registry.Registry) mesh.Ask {
 	now := y.config.Now()
@@ -350,7 +368,7 @@
 	start := min(max(c.route.Goal-firstEvent-now.Sub(c.began), 0), left)
 	a := mesh.Ask{
 		ID: c.envelope.ID, Service: c.service.Name, Organisation: c.organisation.Name, Fingerprint: c.fingerprint,
-		Prompt: c.envelope.Prompt, Output: c.envelope.Output,
+		Prompt: c.envelope.Prompt, Output: c.envelope.Output, Movable: y.movable(c),
 		StartInMS: int(start.Milliseconds()), LatestInMS: int(max(start, min(lateWait, left)).Milliseconds()),
 	}
 	for _, id := range c.failed {
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -63,6 +63,10 @@
 	mu    sync.Mutex
 	runs  []string // what targets ran, by target and request
 	seen  []*http.Request
+
+	addresses []string // of the targets
+	mesh      *mesh.Mesh
+	places    *relay.Places
 }
 
 func (e *entry) ran(target string, r *http.Request) {
@@ -82,6 +86,11 @@
 
 // start runs a relay; each handler is one target of the service.
 func start(t *testing.T, route routes.Route, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
+	t.Helper()
+	return startWith(t, route, routes.Service{Name: "s"}, handlers...)
+}
+
+func startWith(t *testing.T, route routes.Route, service routes.Service, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
 	t.Helper()
 	is := is.New(t)
 	e := &entry{}
@@ -97,10 +106,13 @@
 			ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z", State: registry.Ready,
 		})
 	}
+	for _, target := range targets {
+		e.addresses = append(e.addresses, target.Address)
+	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/r/"
 	route.Shares = []routes.Share{{Service: "s", Weight: 1}}
 	table := routes.New(routes.Config{
-		Version: 1, Routes: []routes.Route{route}, Services: []routes.Service{{Name: "s"}},
+		Version: 1, Routes: []routes.Route{route}, Services: []routes.Service{service},
 		Keys: map[string]routes.Organisation{"key": {Name: "clerks"}},
 	})
 	errAway := errors.New("the store is away")
@@ -124,17 +136,18 @@
 		},
 	}
 	m, err := mesh.Listen(mesh.Config{
-		Self: mesh.Host{Name: "e", Role: mesh.Entry, Address: "127.0.0.1:0"}, Silence: time.Second, Now: time.Now,
-		Handle: func(mesh.Host, mesh.Message) {}, Log: zerolog.Nop(),
+		Self: mesh.Host{Name: "e", Role: mesh.Entry, Address: freeAddress(t)}, Silence: time.Second, Now: time.Now,
+		Handle: func(from mesh.Host, message mesh.Message) { e.places.Handle(from, message) }, Log: zerolog.Nop(),
 	})
 	is.NoErr(err)
+	e.mesh, e.places = m, relay.NewPlaces(relay.PlacesConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()})
 	board := bulletin.New(bulletin.Config{
 		Store: store, Mesh: m, Clock: freshness.Now, Now: time.Now, Log: zerolog.Nop(),
 		Changed: func(r registry.Registry) { e.relay.TargetsChanged(r) },
 	})
 	e.relay = relay.New(relay.Config{
 		Zone: "z", Wire: wire(), Board: board, Now: time.Now, KeyBound: keyBound, RetryShare: 0.2, RetryReserve: 5,
-		Places: relay.NewPlaces(relay.PlacesConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
+		Places: e.places,
 		Client: exchange.New(exchange.Config{ConnectTimeout: time.Second, MaxIdle: 2, IdleTimeout: time.Second, Now: time.Now}),
 		Strike: func(quarantine.Strike) {}, Observe: func(relay.Outcome) {}, Log: zerolog.Nop(),
 	})
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -85,11 +85,12 @@
 	Organisation string `json:"organisation,omitempty"`
 	// Fingerprint is the same when a caller sends a request again.
 	Fingerprint uint64   `json:"fingerprint"`
-	Prompt      int      `json:"prompt"`        // tokens
-	Output      int      `json:"output"`        // tokens expected
-	StartInMS   int      `json:"start_in_ms"`   // a later start misses the goal
-	LatestInMS  int      `json:"latest_in_ms"`  // a later start is of no use
-	Not         []string `json:"not,omitempty"` // engines that failed it
+	Prompt      int      `json:"prompt"`            // tokens
+	Output      int      `json:"output"`            // tokens expected
+	StartInMS   int      `json:"start_in_ms"`       // a later start misses the goal
+	LatestInMS  int      `json:"latest_in_ms"`      // a later start is of no use
+	Not         []string `json:"not,omitempty"`     // engines that failed it
+	Movable     bool     `json:"movable,omitempty"` // it may go on at another engine while it runs
 }
 
 // Verdict answers an Ask.
@@ -97,6 +98,8 @@
 	ID     string `json:"id"`
 	Engine string `json:"engine,omitempty"` // address to send to
 	Wait   bool   `json:"wait,omitempty"`   // another verdict follows
+	// Moved says that the request goes on at the engine from now on.
+	Moved bool `json:"moved,omitempty"`
 	// ReturnInMS is when a refused request should come back.
 	ReturnInMS int `json:"return_in_ms,omitempty"`
 }
--- a/parts/rankload/rankload.go
+++ b/parts/rankload/rankload.go
@@ -3,8 +3,10 @@
 // longest part of a pass least longer; what cannot start in time is refused when
 // it comes, with when to come back.
 //
-// It answers the load of a burst: twice what the group can run, for seconds.
-// Then longer batches would make every pass longer and every stream late.
+// It answers two loads. A burst, twice what the group can run for seconds: longer
+// batches would make every pass longer and every stream late. And a rank that becomes
+// many times slower than the others: all wait for it for as long as it has requests
+// of its own, so those that can go on elsewhere are moved at once.
 package rankload
 
 import (
@@ -33,6 +35,9 @@
 	// maxRefused bounds how many refused requests are remembered: some seconds of
 	// a burst at ten times today's load.
 	maxRefused = 8192
+	// maxTold is how often a move is told, one pass of the caller's loop apart:
+	// datagrams get lost.
+	maxTold = 3
 	// leastReturn is the shortest time after which a refused request should
 	// come back: about what one stream takes.
 	leastReturn = 500 * time.Millisecond
@@ -58,6 +63,8 @@
 	StartBy time.Time
 	Latest  time.Time
 	Not     []string // engines that are left out
+	// Movable says that it may go on at another rank while it runs.
+	Movable bool
 }
 
 // Verdict is the word on a request.
@@ -65,6 +72,8 @@
 	ID     string
 	Engine string // set when it has a place
 	Wait   bool
+	// Moved says that it ran elsewhere and goes on at the engine.
+	Moved  bool
 	Return time.Time // when a refused request should come back
 }
 
@@ -72,6 +81,7 @@
 	request Request
 	engine  string
 	since   time.Time
+	told    int // how often it was told to move
 }
 
 // Placer is not safe for concurrent use. Time passes only by arguments.
@@ -82,6 +92,8 @@
 	queue   *admission.Queue
 	// refused holds when requests first came that were sent away.
 	refused map[uint64]time.Time
+	// places is how many requests each engine should run at most.
+	places map[string]int
 }
 
 // New returns a placer without ranks.
@@ -92,14 +104,63 @@
 // SetRanks takes the ranks that may be given work.
 func (p *Placer) SetRanks(ranks []Rank) {
 	p.ranks = make(map[string]Rank, len(ranks))
-	capacity := 0
+	fastest := math.Inf(1)
 	for _, r := range ranks {
 		p.ranks[r.Engine] = r
-		capacity += r.Slots
+		fastest = min(fastest, max(r.Pace, 1))
+	}
+	running := make(map[string]int, len(ranks))
+	for _, j := range p.jobs {
+		running[j.engine]++
+	}
+	p.places = make(map[string]int, len(ranks))
+	capacity := 0
+	for _, r := range ranks {
+		p.places[r.Engine] = places(r, fastest)
+		// What a rank ran before it became slow takes no place of the others.
+		capacity += max(p.places[r.Engine], min(running[r.Engine], r.Slots))
 	}
 	p.queue.SetCapacity(capacity)
 }
 
+// places is how many requests a rank may run until its part of a pass is as long as
+// that of the fastest rank when it is full. A rank without requests holds nobody up.
+func places(r Rank, fastest float64) int {
+	longest := fastest * (fixedPart + float64(r.Slots))
+	return max(min(int(longest/max(r.Pace, 1)-fixedPart), r.Slots), 0)
+}
+
+// Vacate moves what may go on elsewhere away from ranks that are too slow for any
+// request. Each move is told again until its request has ended or it was told often
+// enough.
+func (p *Placer) Vacate(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		j := p.jobs[id]
+		switch {
+		case j.told > 0 && j.told < maxTold:
+		case j.told == 0 && j.request.Movable && p.tooSlow(j.engine):
+			if j.engine = p.best(now, []string{j.engine}); p.tooSlow(j.engine) {
+				continue // all are
+			}
+			j.since = now // its prompt is read again
+		default:
+			continue
+		}
+		j.told++
+		p.jobs[id] = j
+		verdicts = append(verdicts, Verdict{ID: id, Engine: j.engine, Moved: true})
+	}
+	return verdicts
+}
+
+// tooSlow says whether a rank should run nothing; one that is not known is left
+// alone.
+func (p *Placer) tooSlow(engine string) bool {
+	places, known := p.places[engine]
+	return engine == "" || (known && places == 0)
+}
+
 // Running counts the places taken.
 func (p *Placer) Running() int { return len(p.jobs) }
 
--- a/parts/rankload/rankload_test.go
+++ b/parts/rankload/rankload_test.go
@@ -122,6 +122,56 @@
 	is.True(given["e0"] > 4 && given["e1"] > 4 && given["e3"] > 4)
 }
 
+// TestSlowRankIsVacated plays a rank that becomes twelve times slower while all ranks
+// have work: every request of it that may go on elsewhere is moved, without taking
+// more places than the others have, and nothing comes back to it.
+func TestSlowRankIsVacated(t *testing.T) {
+	is := is.New(t)
+	p := rankload.New()
+	var ranks []rankload.Rank
+	for i := range 4 {
+		ranks = append(ranks, rankload.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Pace: 1})
+	}
+	p.SetRanks(ranks)
+	now := time.Unix(0, 0)
+	at := map[string]string{}
+	for i := range 24 {
+		id := fmt.Sprint(i)
+		v := p.Offer(now, rankload.Request{ID: id, Fingerprint: uint64(i), StartBy: now.Add(start), Latest: now.Add(latest), Movable: i >= 4})
+		at[id] = v.Engine
+		now = now.Add(time.Second / 4)
+	}
+	is.Equal(len(p.Vacate(now)), 0) // no rank is slow
+	ranks[1].Pace = 12
+	told := map[string]int{}
+	for range 5 {
+		p.SetRanks(ranks)
+		for _, v := range p.Vacate(now) {
+			is.True(v.Moved)
+			is.Equal(at[v.ID], "e1")
+			is.True(v.Engine != "e1")
+			told[v.ID]++
+		}
+	}
+	stay := 0
+	for id, engine := range at {
+		if engine != "e1" {
+			continue
+		}
+		if told[id] == 0 {
+			stay++
+			continue
+		}
+		is.Equal(told[id], 3) // datagrams get lost
+	}
+	is.True(stay <= 4) // those that must not run twice
+	is.True(len(told) >= 4)
+	for i := 24; i < 44; i++ {
+		v := p.Offer(now, rankload.Request{ID: fmt.Sprint(i), Fingerprint: uint64(i), StartBy: now.Add(start), Latest: now.Add(latest)})
+		is.True(v.Engine != "e1")
+	}
+}
+
 // TestAskedAgainGetsTheSameWord plays a lost verdict.
 func TestAskedAgainGetsTheSameWord(t *testing.T) {
 	is := is.New(t)
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -113,6 +113,7 @@
 	l.readFar(now)
 	l.updateRanks(now)
 	l.send(l.placer.Next(now))
+	l.send(l.placer.Vacate(now))
 	l.watchHeld(now)
 	l.demandNow()
 	if l.current == nil {
@@ -156,7 +157,7 @@
 	_, again := l.askers[a.ID]
 	l.askers[a.ID] = from.Name
 	v := l.placer.Offer(now, rankload.Request{
-		ID: a.ID, Organisation: a.Organisation, Fingerprint: a.Fingerprint, Prompt: a.Prompt, Not: a.Not,
+		ID: a.ID, Organisation: a.Organisation, Fingerprint: a.Fingerprint, Prompt: a.Prompt, Not: a.Not, Movable: a.Movable,
 		StartBy: now.Add(time.Duration(a.StartInMS) * time.Millisecond),
 		Latest:  now.Add(time.Duration(a.LatestInMS) * time.Millisecond),
 	})
@@ -182,12 +183,12 @@
 		if !ok {
 			continue
 		}
-		answer := mesh.Verdict{ID: v.ID, Engine: v.Engine, Wait: v.Wait}
+		answer := mesh.Verdict{ID: v.ID, Engine: v.Engine, Wait: v.Wait, Moved: v.Moved}
 		if v.Engine == "" && !v.Wait {
 			answer.ReturnInMS = int(max(v.Return.Sub(now), 0).Milliseconds())
 			delete(l.askers, v.ID)
 		}
-		l.log.Info().Str("request", v.ID).Str("engine", v.Engine).Bool("wait", v.Wait).Int("return_in_ms", answer.ReturnInMS).
+		l.log.Info().Str("request", v.ID).Str("engine", v.Engine).Bool("wait", v.Wait).Bool("moved", v.Moved).Int("return_in_ms", answer.ReturnInMS).
 			Int("running", l.placer.Running()).Int("waiting", l.placer.Waiting()).Msg("place decided")
 		l.config.Mesh.Send(host, mesh.Message{Verdict: &answer})
 	}
