Ranks: a held pass lies 60 ms ahead

Cause: a switch that was armed when a rank became slow came into force three passes of 0.4 s later, and nothing could be planned before. Change: the time that orders take is counted as 60 ms in place of 80: two passes ahead at 66 ms. A pass reached too early waits for the last rank.

--- a/targetd/ranks/pace.go
+++ b/targetd/ranks/pace.go
@@ -16,8 +16,8 @@
 
 const (
 	// orderTime is what it takes to hold a pass and arm all ranks for it: two
-	// messages and two orders of some 20 ms each.
-	orderTime = 80 * time.Millisecond
+	// messages and two orders, some 15 ms each.
+	orderTime = 60 * time.Millisecond
 	// usualPass stands for the length of a pass before any was measured.
 	usualPass = 40 * time.Millisecond
 	// longOrders is how many times orderTime a pass must take to be long: then a
