Ranks: a new leader does not call its group closed before it knows

Ruled out: a group that really was closed: its epoch had not changed. Change: entries are not told within the first 0.4 s unless the group is open.

--- a/targetd/ranks/group_test.go
+++ b/targetd/ranks/group_test.go
@@ -40,6 +40,9 @@
 	// storeSlow keeps the store from answering with the shape; an entry knows it.
 	storeSlow bool
 	heldAt    time.Time
+	// leads and closed count what the entry was told, and how often that the group
+	// is closed.
+	leads, closed int
 }
 
 type fakeEngine struct {
@@ -273,6 +276,7 @@
 	m, err = mesh.Listen(mesh.Config{
 		Self: host, Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
 		Handle: func(from mesh.Host, message mesh.Message) {
+			g.told(message.Lead)
 			if message.AskShape == "s" {
 				m.Send(from.Name, mesh.Message{Shape: &mesh.Shape{Service: "s", Engine: shape}})
 			}
@@ -296,6 +300,37 @@
 	return g.engines[0].view.Map, g.mixed, g.refused
 }
 
+func (g *group) told(l *mesh.Lead) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l == nil {
+		return
+	}
+	g.leads++
+	if !l.Open {
+		g.closed++
+	}
+}
+
+// TestNewLeaderDoesNotCallItsGroupClosed has a group that was open all along when
+// its first leader is chosen. Entries refuse requests of a closed group.
+func TestNewLeaderDoesNotCallItsGroupClosed(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGroup(30 * time.Millisecond)
+	g.start(t, ctx)
+	leads, closed := 0, 0
+	for deadline := time.Now().Add(5 * time.Second); leads < 3 && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+		g.mu.Lock()
+		leads, closed = g.leads, g.closed
+		g.mu.Unlock()
+	}
+	is.True(leads >= 3)
+	is.Equal(closed, 0)
+}
+
 // TestOneShiftNeedsOneSwitch plays a group whose passes are slow, so that the held
 // pass is reached well after the switch was led. A leader that plans meanwhile
 // takes the old layout for the new one, and copies it all again.
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -44,6 +44,9 @@
 	// evenSkew and evenGain take the place of the usual target and gain then.
 	evenSkew = 1.15
 	evenGain = 0.08
+	// learnTime is how long a new leader may take to hear of its ranks; until then
+	// it does not tell entries that the group is closed.
+	learnTime = 400 * time.Millisecond
 	// worthwhile is by how much a switch must lower the skew, below which copies
 	// slow passes more than they help.
 	worthwhile = 0.15
@@ -129,7 +132,11 @@
 	}
 	l.told = now
 	m := mesh.Message{Lead: &mesh.Lead{Service: l.config.Service, Group: l.group, Fence: l.fence, Open: l.open}}
-	for _, role := range []mesh.Role{mesh.Target, mesh.Entry} {
+	roles := []mesh.Role{mesh.Target, mesh.Entry}
+	if !l.open && now.Sub(l.began) < learnTime {
+		roles = roles[:1] // entries would refuse requests of a group that may be open
+	}
+	for _, role := range roles {
 		for _, h := range l.config.Mesh.Known(role) {
 			l.config.Mesh.Send(h.Name, m)
 		}
