Board: a lost store is tried by the fleet, not by each request

Change: a request does not read before the next try is due, and the tries of all entries together come to some thirty a second; the first one that succeeds tells the others.

--- a/entryd/bulletin/bulletin.go
+++ b/entryd/bulletin/bulletin.go
@@ -34,8 +34,12 @@
 	// refreshAge is how old a view may be that is not read anew when a target has
 	// turned out to be gone.
 	refreshAge = 150 * time.Millisecond
-	// retryAfter is the pause after a failed read.
-	retryAfter = 200 * time.Millisecond
+	// retryAfter is the least pause after a failed read, and retrySpread, for each
+	// entry alive up to maxRetrySpread, spreads the next tries: together they make
+	// some thirty a second, and the first that succeeds tells the others.
+	retryAfter     = 200 * time.Millisecond
+	retrySpread    = 60 * time.Millisecond
+	maxRetrySpread = 4 * time.Second
 	// returnGrace is how long targets whose entries lapsed while the store was
 	// away may take to come back.
 	returnGrace = 2 * time.Second
@@ -136,15 +140,25 @@
 }
 
 // Current says whether the routes were in force within the bound. An old proof
-// is renewed by a read while the caller waits.
+// is renewed by a read while the caller waits, unless the store was away just now.
 func (b *Board) Current(ctx context.Context, bound time.Duration) bool {
 	if b.holds(bound) {
 		return true
 	}
+	if b.away() {
+		return false
+	}
 	b.read(ctx)
 	return b.holds(bound)
 }
 
+// away says whether the last read failed and the next try is not due yet.
+func (b *Board) away() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.reachable && b.config.Now().Before(b.readDue)
+}
+
 func (b *Board) holds(bound time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -158,7 +172,7 @@
 	fresh := b.config.Now().Before(b.targetsDue.Add(refreshAge - readAge))
 	b.targetsDue = b.config.Now()
 	b.mu.Unlock()
-	if !fresh {
+	if !fresh && !b.away() {
 		b.read(ctx)
 	}
 }
@@ -290,7 +304,8 @@
 func (b *Board) noteFailure(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.postpone(retryAfter)
+	spread := min(retrySpread*time.Duration(1+len(b.config.Mesh.Alive(mesh.Entry))), maxRetrySpread)
+	b.readDue = b.config.Now().Add(retryAfter + time.Duration(rand.Int64N(int64(spread))))
 	if b.reachable {
 		b.config.Log.Warn().Err(err).Msg("store lost; peers are heard, and it is tried again")
 	}
--- a/entryd/bulletin/bulletin_test.go
+++ b/entryd/bulletin/bulletin_test.go
@@ -180,6 +180,42 @@
 	}
 }
 
+// TestLostStoreIsNotCalledByEachRequest has requests at entries whose store is away,
+// and refuses their calls at once. All entries together try some thirty times a
+// second, and know it soon when the store is back.
+func TestLostStoreIsNotCalledByEachRequest(t *testing.T) {
+	is := is.New(t)
+	const entries = 12
+	f := start(t, entries)
+	time.Sleep(1500 * time.Millisecond) // the joining is over
+	for _, cut := range f.cut {
+		cut.Store(true)
+	}
+	time.Sleep(time.Second) // proofs grow old
+	before := f.store.calls.Load()
+	const outage = 3
+	for range outage * 100 {
+		for _, b := range f.boards {
+			is.True(!b.Current(context.Background(), 700*time.Millisecond))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	calls := f.store.calls.Load() - before
+	t.Logf("%d calls in %d s by %d entries", calls, outage, entries)
+	is.True(calls < 40*outage)
+	for _, cut := range f.cut {
+		cut.Store(false)
+	}
+	is.True(eventually(500*time.Millisecond, func() bool {
+		for _, b := range f.boards {
+			if !b.Current(context.Background(), 700*time.Millisecond) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
 // TestRemovalAfterAnOutageCountsAtOnce cuts an entry from the store for a while.
 // A target that leaves after the store is regained must be gone at once: the
 // outage did not cause that.
