Relay: an entry that decides alone avoids the slow ranks

Ruled out: a move that was lost, requests that may not go on elsewhere. Change: leaders tell which ranks should get nothing, at once when that changes; without a verdict an entry takes them last.

--- a/entryd/relay/loads.go
+++ b/entryd/relay/loads.go
@@ -115,9 +115,9 @@
 	}
 }
 
-// pick returns the target with the least work. A target that failed is taken
-// only when there is no other.
-func (l *loads) pick(now time.Time, targets []registry.Target, failed []string, zone string) (registry.Target, bool) {
+// pick returns the target with the least work. A target that failed, or at an
+// address to be avoided, is taken only when there is no other.
+func (l *loads) pick(now time.Time, targets []registry.Target, failed, avoid []string, zone string) (registry.Target, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best registry.Target
@@ -127,7 +127,7 @@
 			continue
 		}
 		state := l.of(t.ID)
-		shunned := now.Before(state.shunned)
+		shunned := now.Before(state.shunned) || slices.Contains(avoid, t.Address)
 		cost := state.cost(now) + rand.Float64()*zoneCost/2
 		if t.Zone != zone {
 			cost += zoneCost
--- a/entryd/relay/move_test.go
+++ b/entryd/relay/move_test.go
@@ -132,3 +132,16 @@
 	<-left
 	is.Equal(e.runCount(), 1)
 }
+
+// TestEntryAloneAvoidsSlowRanks has a leader whose verdicts do not arrive. A single
+// request at a slow rank would hold all ranks up.
+func TestEntryAloneAvoidsSlowRanks(t *testing.T) {
+	is := is.New(t)
+	e := startWith(t, streamRoute(2), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, serve("slow"), serve("fast"))
+	e.places.Handle(mesh.Host{Name: "leader"}, mesh.Message{Lead: &mesh.Lead{Service: "s", Group: "g", Fence: 1, Open: true, Slow: e.addresses[:1]}})
+	for range 6 {
+		_, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.NoErr(err)
+		is.Equal(body, "answer of fast")
+	}
+}
--- a/entryd/relay/places.go
+++ b/entryd/relay/places.go
@@ -57,6 +57,7 @@
 	host  string
 	fence mapswitch.Fence
 	open  bool
+	slow  []string // engines that should get no request
 	heard time.Time
 }
 
@@ -130,7 +131,7 @@
 		p.config.Log.Info().Str("leader", from.Name).Str("service", lead.Service).Int64("fence", int64(lead.Fence)).
 			Bool("open", lead.Open).Msg("group has this leader and state")
 	}
-	p.leaders[lead.Service] = groupLeader{host: from.Name, fence: lead.Fence, open: lead.Open, heard: now}
+	p.leaders[lead.Service] = groupLeader{host: from.Name, fence: lead.Fence, open: lead.Open, slow: lead.Slow, heard: now}
 }
 
 // Fenced says whether a leader with a higher fence is known for the service.
@@ -140,6 +141,14 @@
 	return fence < p.leaders[service].fence
 }
 
+// slow returns the engines of a service that should get no request, by the last word
+// of its leader.
+func (p *Places) slow(service string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaders[service].slow
+}
+
 // place is a verdict as the entry acts on it.
 type place struct {
 	id      string
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -348,7 +348,7 @@
 			p.release()
 		}
 	}
-	t, ok := y.loads.pick(y.config.Now(), targets.Serving(c.service.Name), c.failed, y.config.Zone)
+	t, ok := y.loads.pick(y.config.Now(), targets.Serving(c.service.Name), c.failed, y.config.Places.slow(c.service.Name), y.config.Zone)
 	if !ok {
 		return registry.Target{}, none, &refusal{http.StatusServiceUnavailable, "no_target", soon}
 	}
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -134,13 +134,8 @@
 	Group   string          `json:"group"`
 	Fence   mapswitch.Fence `json:"fence"`
 	Open    bool            `json:"open"`
-	Engines []Load          `json:"engines,omitempty"`
-}
-
-// Load is how much one engine has to do.
-type Load struct {
-	Engine string  `json:"e"`
-	Taken  float64 `json:"t"` // places, by estimate
+	// Slow lists the addresses of engines that should get no request.
+	Slow []string `json:"slow,omitempty"`
 }
 
 // Order asks a daemon to give an engine an order.
--- a/parts/rankload/rankload.go
+++ b/parts/rankload/rankload.go
@@ -154,6 +154,17 @@
 	return verdicts
 }
 
+// Slow returns the engines that are too slow for any request, by address.
+func (p *Placer) Slow() []string {
+	var slow []string
+	for _, engine := range slices.Sorted(maps.Keys(p.places)) {
+		if p.places[engine] == 0 {
+			slow = append(slow, engine)
+		}
+	}
+	return slow
+}
+
 // tooSlow says whether a rank should run nothing; one that is not known is left
 // alone.
 func (p *Placer) tooSlow(engine string) bool {
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -76,6 +76,7 @@
 	gathered [][]float64
 	told     time.Time
 	open     bool
+	slow     []string // engines that should get no request
 
 	current  *mapswitch.Switch
 	layouts  [][][]int // of the current switch, by set and rank
@@ -131,7 +132,7 @@
 		return
 	}
 	l.told = now
-	m := mesh.Message{Lead: &mesh.Lead{Service: l.config.Service, Group: l.group, Fence: l.fence, Open: l.open}}
+	m := mesh.Message{Lead: &mesh.Lead{Service: l.config.Service, Group: l.group, Fence: l.fence, Open: l.open, Slow: l.slow}}
 	roles := []mesh.Role{mesh.Target, mesh.Entry}
 	if !l.open && now.Sub(l.began) < learnTime {
 		roles = roles[:1] // entries would refuse requests of a group that may be open
--- a/targetd/ranks/reports.go
+++ b/targetd/ranks/reports.go
@@ -173,6 +173,11 @@
 		usable = nil
 	}
 	l.placer.SetRanks(usable)
+	if slow := l.placer.Slow(); !slices.Equal(slow, l.slow) {
+		l.log.Info().Strs("slow", slow).Strs("before", l.slow).Msg("ranks that are too slow for requests")
+		l.slow, l.told = slow, time.Time{}
+		l.tell(now)
+	}
 }
 
 // leastPass is how long a pass takes at least: all ranks wait for the slowest.
