Popularity: a change of demand is told from what is usual in the group

Ruled out: lost reports (counts add up over the turns), late orders. Change: the threshold is twice the usual distance, between 0.12 and 0.28.

--- a/parts/popularity/popularity.go
+++ b/parts/popularity/popularity.go
@@ -12,8 +12,15 @@
 	keep = 0.9
 	// changed is half the L1 distance between an interval and the estimate from
 	// which demand counts as changed: what single requests choose differs by up to
-	// a quarter, a drift of popularity by a third and more.
+	// a quarter in a group of 12 ranks, a drift of popularity by a third and more.
 	changed = 0.28
+	// In a larger group single requests even out within an interval (0.03 to 0.09
+	// with 63 ranks) and drifts are smaller (0.15 to 0.24). There demand counts as
+	// changed from calmTimes the usual distance on, at least leastChanged.
+	calmTimes    = 2
+	leastChanged = 0.12
+	// calmWeight is the weight of the newest interval in the usual distance.
+	calmWeight = 0.1
 	// enough is the least number of choices an expert and set for a comparison.
 	enough = 8
 	// enoughShare is the part of a usual interval's choices that is needed besides.
@@ -27,6 +34,7 @@
 	recent  [][]float64 // gathered until there are enough to compare
 	waiting float64     // total of recent
 	shifts  int
+	calm    float64 // usual distance of an interval; 0 before there is one
 }
 
 // With returns the estimate after an interval's choices, by set and expert.
@@ -42,16 +50,32 @@
 	}
 	fresh := next.recent
 	next.recent, next.waiting = nil, 0
-	if e.choices == nil || distance(normalised(e.choices), normalised(fresh)) > changed {
+	d := math.Inf(1)
+	if e.choices != nil {
+		d = distance(normalised(e.choices), normalised(fresh))
+	}
+	if d > e.threshold() {
 		next.choices = fresh
 		next.shifts++
 	} else {
 		next.choices = sum(e.choices, fresh, keep)
+		next.calm = e.calm + calmWeight*(d-e.calm)
+		if e.calm == 0 {
+			next.calm = d
+		}
 	}
 	next.total = mean(next.choices)
 	return next
 }
 
+// threshold is the distance from which demand counts as changed.
+func (e Estimate) threshold() float64 {
+	if e.calm == 0 {
+		return changed
+	}
+	return min(max(calmTimes*e.calm, leastChanged), changed)
+}
+
 // mean is the number of choices in a set.
 func mean(choices [][]float64) float64 {
 	total := 0.0
