Ranks: a slow rank holds few experts

Ruled out: requests at the slow rank (none), slow switches (0.3 s). Change: the plan counts a rank that should run no requests as slower than it is, by its pace once more.

--- a/targetd/ranks/switching.go
+++ b/targetd/ranks/switching.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"camphormill.dev/parts/mapswitch"
@@ -77,7 +78,7 @@
 	speeds := make([]float64, len(l.ranks))
 	version := mapswitch.Version(0)
 	for i, r := range l.ranks {
-		speeds[i] = 1 / max(r.rank.Pace, 1)
+		speeds[i] = speed(r.rank.Pace, slices.Contains(l.slow, r.rank.Engine))
 		version = max(version, r.rank.View.Map, r.rank.View.Prepared, r.rank.View.Armed)
 	}
 	began := time.Now()
@@ -111,6 +112,17 @@
 	l.start(now, mapswitch.New(l.switchConfig(version+1)))
 }
 
+// speed is how much of the experts' work a rank of a pace should get. One that is too
+// slow for requests gets less than it could do: what it still holds may become
+// popular next, and all ranks would wait for it.
+func speed(pace float64, tooSlow bool) float64 {
+	pace = max(pace, 1)
+	if tooSlow {
+		pace *= pace
+	}
+	return 1 / pace
+}
+
 // arrived says whether the last switch has taken effect at every rank. An armed
 // engine takes no other map, however long its pass lasts; a new epoch has forgotten
 // the switch.
