Popularity, ranks: no plan for mixed demand; large groups are evened out

Besides, passes had come to 57 ms, under the 60 from which layouts are evened out, so that large drifts were met in two steps (0.25 s: 3.25 to 1.46; 1.17 s: 1.75 to 1.45; 2.56 s: 1.45 to 1.14). Change: after a weak change the next interval replaces the mixed one, and nothing is planned before; groups of over 16 ranks are always evened out.

--- a/parts/popularity/popularity.go
+++ b/parts/popularity/popularity.go
@@ -35,6 +35,9 @@
 	waiting float64     // total of recent
 	shifts  int
 	calm    float64 // usual distance of an interval; 0 before there is one
+	// mixed says that demand has changed within the newest interval, as far as is
+	// known: the next one replaces it.
+	mixed bool
 }
 
 // With returns the estimate after an interval's choices, by set and expert.
@@ -54,10 +57,15 @@
 	if e.choices != nil {
 		d = distance(normalised(e.choices), normalised(fresh))
 	}
-	if d > e.threshold() {
+	next.mixed = false
+	switch {
+	case e.mixed:
+		next.choices = fresh
+	case d > e.threshold():
 		next.choices = fresh
 		next.shifts++
-	} else {
+		next.mixed = d <= changed // else most of it is new
+	default:
 		next.choices = sum(e.choices, fresh, keep)
 		next.calm = e.calm + calmWeight*(d-e.calm)
 		if e.calm == 0 {
@@ -88,9 +96,9 @@
 }
 
 // Shares returns the demand by set and expert, each set summing to 1, or nil
-// before there is any.
+// before there is any and while it is mixed with what was in demand before.
 func (e Estimate) Shares() [][]float64 {
-	if e.choices == nil {
+	if e.choices == nil || e.mixed {
 		return nil
 	}
 	return normalised(e.choices)
--- a/parts/popularity/popularity_test.go
+++ b/parts/popularity/popularity_test.go
@@ -99,3 +99,27 @@
 	end := e.Shares()[0][36]
 	is.True(math.Abs(soon-end) < 0.2*math.Abs(end-before))
 }
+
+// TestMixedIntervalIsNotPlannedFor has a drift in the middle of an interval: half old
+// demand and half new is what nobody asks for, and a layout for it needs another
+// switch.
+func TestMixedIntervalIsNotPlannedFor(t *testing.T) {
+	is := is.New(t)
+	const requests, part = 300, 0.5
+	rng := rand.New(rand.NewPCG(1, 2))
+	var e popularity.Estimate
+	for range 100 {
+		e = e.With(busyInterval(rng, 36, requests, 0))
+	}
+	is.True(e.Shares() != nil)
+	e = e.With(busyInterval(rng, 36, requests, part/2))
+	is.True(e.Shares() == nil)
+	e = e.With(busyInterval(rng, 36, requests, part))
+	soon := e.Shares()[0][36]
+	is.Equal(e.Shifts(), 2)
+	for range 100 {
+		e = e.With(busyInterval(rng, 36, requests, part))
+	}
+	end := e.Shares()[0][36]
+	is.True(math.Abs(soon-end) < 0.1*end)
+}
--- a/targetd/ranks/leader.go
+++ b/targetd/ranks/leader.go
@@ -41,7 +41,8 @@
 	// longPass is when passes are so long that layouts are evened out as far as
 	// they can: half of the pause between events that users allow.
 	longPass = 60 * time.Millisecond
-	// evenSkew takes the place of the usual target then.
+	// evenSkew takes the place of the usual target then, and always in a large group:
+	// its experts are small and many, and a drift finds passes that leave no room.
 	evenSkew = 1.15
 	// learnTime is how long a new leader may take to hear of its ranks; until then
 	// it does not tell entries that the group is closed.
--- a/targetd/ranks/switching.go
+++ b/targetd/ranks/switching.go
@@ -72,7 +72,7 @@
 		return
 	}
 	target := l.config.SkewTarget
-	if l.pace.mean > longPass {
+	if l.pace.mean > longPass || len(l.ranks) > largeGroup {
 		target = min(target, evenSkew)
 	}
 	speeds := make([]float64, len(l.ranks))
