--- a/parts/rankload/rankload.go
+++ b/parts/rankload/rankload.go
@@ -34,9 +34,9 @@
 	// readTime is how long a prompt counts as being read.
 	readTime = 150 * time.Millisecond
 	// zoneCost is what another availability zone costs, in requests of a batch: its
-	// bytes are paid for, and a connection is less often kept. What a request adds to
-	// a rank's own part of a pass is small; a prompt that is being read weighs more.
-	zoneCost = 3
+	// bytes are paid for, and a connection is less often kept. With 3 the batches
+	// became uneven enough to make streams late.
+	zoneCost = 1
 	// maxHold bounds how long a place is kept whose release was lost; no route
 	// of the users lets an answer last longer.
 	maxHold = 9 * time.Second
