--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -386,7 +386,7 @@
 	start := min(max(c.route.Goal-firstEvent-now.Sub(c.began), 0), left)
 	a := mesh.Ask{
 		ID: c.envelope.ID, Service: c.service.Name, Organisation: c.organisation.Name, Fingerprint: c.fingerprint,
-		Prompt: c.envelope.Prompt, Output: c.envelope.Output, Movable: y.movable(c),
+		Prompt: c.envelope.Prompt, Movable: y.movable(c),
 		StartInMS: int(start.Milliseconds()), LatestInMS: int(max(start, min(lateWait, left)).Milliseconds()),
 	}
 	for _, id := range c.failed {
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -86,7 +86,6 @@
 	// Fingerprint is the same when a caller sends a request again.
 	Fingerprint uint64   `json:"fingerprint"`
 	Prompt      int      `json:"prompt"`            // tokens
-	Output      int      `json:"output"`            // tokens expected
 	StartInMS   int      `json:"start_in_ms"`       // a later start misses the goal
 	LatestInMS  int      `json:"latest_in_ms"`      // a later start is of no use
 	Not         []string `json:"not,omitempty"`     // engines that failed it
