Soak: ranks become slow in turns

The stand-in engines can be slow: passes wait for a slow rank while it has requests, and its report says so. The soak makes ranks slow in turns, by a sequence of their own so that older seeds stay as they were.

--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -52,6 +52,10 @@
 	lostPart    = 0.02
 	// longFault is how long some faults last: longer than a removed key may work.
 	longFault = 8 * time.Second
+	// slowPace is how many times slower one rank becomes, as the users' engines do.
+	slowPace = 8
+	// slowSequence numbers the random sequence of the slow rank.
+	slowSequence = 1 << 32
 	// shiftEvery is how often demand for experts drifts beside the drawn faults.
 	shiftEvery = 1500 * time.Millisecond
 	// leastRecovered is the share of requests that must be served then.
@@ -179,6 +183,18 @@
 			f.group.Shift()
 		}
 	})
+	// And ranks become slow in turns, by a sequence of their own: older seeds stay
+	// as they were.
+	own := rand.New(rand.NewPCG(f.config.Seed, slowSequence))
+	done.Go(func() {
+		for time.Since(began) < f.config.For && ctx.Err() == nil {
+			rank := own.IntN(f.config.Targets)
+			f.group.Slow(rank, slowPace)
+			sleep(ctx, time.Duration(500+own.IntN(1500))*time.Millisecond)
+			f.group.Slow(rank, 1)
+			sleep(ctx, time.Duration(own.IntN(1000))*time.Millisecond)
+		}
+	})
 	// Every run has one long outage of the store in which a key is removed.
 	outage := time.Duration(rng.Int64N(int64(f.config.For/2) + 1))
 	done.Go(func() {
--- a/standin/rack/group.go
+++ b/standin/rack/group.go
@@ -35,6 +35,7 @@
 	hot     int
 	mixed   string // what broke the rule of one map, if anything
 	changes int
+	ticks   int // since the last pass
 }
 
 type engineState struct {
@@ -46,6 +47,7 @@
 	lists, next    [][]int
 	counts         [][]int64
 	running        int
+	pace           float64 // over 1 is slow
 }
 
 const nothingHeld = -1
@@ -54,7 +56,7 @@
 func NewGroup(c GroupConfig, book *Book) *Group {
 	g := &Group{config: c, book: book}
 	for rank := range c.Ranks {
-		e := &engineState{id: fmt.Sprintf("i-%d", rank), born: time.Now().UnixMilli(), held: nothingHeld}
+		e := &engineState{id: fmt.Sprintf("i-%d", rank), born: time.Now().UnixMilli(), held: nothingHeld, pace: 1}
 		for range c.Sets {
 			var held []int
 			for x := rank; x < c.Experts; x += c.Ranks {
@@ -80,6 +82,25 @@
 	g.hot = (g.hot + g.config.Experts/3 + 1) % g.config.Experts
 }
 
+// Slow sets how many times slower than usual a rank runs its requests.
+func (g *Group) Slow(rank int, pace float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engines[rank].pace = pace
+}
+
+// slowness is how many times longer than usual passes take: all ranks wait for the
+// slowest that has requests.
+func (g *Group) slowness() float64 {
+	most := 1.0
+	for _, e := range g.engines {
+		if e.running > 0 {
+			most = max(most, e.pace)
+		}
+	}
+	return most
+}
+
 // Verdict returns what broke the rule of one map, how often the map changed, and
 // whether a pass is held now.
 func (g *Group) Verdict() (broken string, changes int, held bool) {
@@ -94,6 +115,10 @@
 func (g *Group) pass() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.ticks++; float64(g.ticks) < g.slowness() {
+		return
+	}
+	g.ticks = 0
 	next := g.step + 1
 	for _, e := range g.engines {
 		if e.held == next {
@@ -144,7 +169,7 @@
 		return n
 	}
 	writeJSON(w, map[string]any{
-		"group": map[string]any{"name": "g", "epoch": 1, "rank": rank, "state": "open"}, "size": len(g.engines), "pace": 1.0,
+		"group": map[string]any{"name": "g", "epoch": 1, "rank": rank, "state": "open"}, "size": len(g.engines), "pace": e.pace,
 		"active": e.running, "queued": 0, "step": g.step, "map": e.version, "born": e.born,
 		"prepared": number(e.ready, 0), "armed": number(e.armed, 0), "held": number(e.held, nothingHeld),
 	})
@@ -277,10 +302,13 @@
 	w.Header().Set("Response-Seal", id)
 	flush := http.NewResponseController(w)
 	for n := from; n <= StreamEvents; n++ {
+		g.mu.Lock()
+		took := time.Duration(2 * g.slowness() * float64(g.config.PassEvery))
+		g.mu.Unlock()
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(2 * g.config.PassEvery):
+		case <-time.After(took):
 		}
 		if rand.Float64() < g.config.CutPart {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", n) // in the middle of an event
