--- a/entryd/relay/move_test.go
+++ b/entryd/relay/move_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -35,8 +34,6 @@
 	is := is.New(t)
 	hosts := []mesh.Host{e.mesh.Self(), {Name: "leader", Role: mesh.Target, Address: freeAddress(t), Zone: "z", Engine: "unused"}}
 	var m *mesh.Mesh
-	var mu sync.Mutex
-	var asks []mesh.Ask
 	m, err := mesh.Listen(mesh.Config{
 		Self: hosts[1], Silence: time.Second, Now: time.Now, Log: zerolog.Nop(),
 		Handle: func(from mesh.Host, message mesh.Message) {
@@ -45,9 +42,6 @@
 				return
 			}
 			m.Send(from.Name, mesh.Message{Verdict: &mesh.Verdict{ID: a.ID, Engine: e.addresses[0]}})
-			mu.Lock()
-			asks = append(asks, *a)
-			mu.Unlock()
 			if !a.Movable {
 				return
 			}
--- a/parts/rankload/rankload.go
+++ b/parts/rankload/rankload.go
@@ -43,8 +43,8 @@
 	// maxRefused bounds how many refused requests are remembered: some seconds of
 	// a burst at ten times today's load.
 	maxRefused = 8192
-	// maxTold is how often a move is told, one pass of the caller's loop apart:
-	// datagrams get lost.
+	// maxTold is how often a move is told, a tick of the leader apart: datagrams get
+	// lost.
 	maxTold = 3
 	// leastReturn is the shortest time after which a refused request should
 	// come back: about what one stream takes.
