--- a/camphormill/story/story_test.go
+++ b/camphormill/story/story_test.go
@@ -45,6 +45,10 @@
 		"broken":   "its stream broke off",
 		"timeout":  "its time was over while a target worked on it",
 		"unknown":  "its answer was lost; it may have run",
+		"shed":     "targets were full or leaving; it did not run",
+		"erred":    "itself answered 500",
+		"overtime": "its time was over while a target worked on it",
+		"crashed":  "its answer was lost; it may have run",
 	} {
 		raw, err := os.ReadFile("testdata/" + request + ".log")
 		is.NoErr(err)
