Mesh: an address is read under the lock

Cause: Send read a host's address after it had let go of the lock, while a message from that host could replace it; a datagram could have gone to half of either. Found by the race detector in the tests of bulletin and ranks.

--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -161,10 +161,14 @@
 // Send sends a message to a host by name.
 func (m *Mesh) Send(name string, message Message) {
 	m.mu.Lock()
+	var to netip.AddrPort
 	p, ok := m.peers[name]
+	if ok {
+		to = p.to // a host that has started anew may replace it meanwhile
+	}
 	m.mu.Unlock()
 	if ok {
-		m.send(p.to, message)
+		m.send(to, message)
 	}
 }
 
--- /dev/null
+++ b/parts/mesh/mesh_test.go
@@ -0,0 +1,64 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mesh"
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = probe.Close() }()
+	return probe.LocalAddr().String()
+}
+
+// TestHostMayStartAnewWhileItIsSentTo has a host that comes back at other addresses
+// while messages go to it. With the race detector it failed before addresses were read
+// under the lock: a datagram could go to half of an old address and half of a new one.
+func TestHostMayStartAnewWhileItIsSentTo(t *testing.T) {
+	is := is.New(t)
+	m, err := mesh.Listen(mesh.Config{
+		Self: mesh.Host{Name: "a", Role: mesh.Entry, Address: freeAddress(t)}, Silence: time.Second, Now: time.Now,
+		Handle: func(mesh.Host, mesh.Message) {}, Log: zerolog.Nop(),
+	})
+	is.NoErr(err)
+	go m.Run(t.Context())
+	joined := make(chan struct{})
+	list := mesh.List{
+		Register: func(context.Context, mesh.Host) error { return nil },
+		Hosts: func(context.Context) ([]mesh.Host, error) {
+			defer close(joined)
+			return []mesh.Host{{Name: "b", Role: mesh.Entry, Address: freeAddress(t)}}, nil
+		},
+	}
+	go m.Join(t.Context(), list)
+	<-joined
+	conn, err := net.Dial("udp4", m.Self().Address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 300 {
+			m.Send("b", mesh.Message{Beat: &mesh.Beat{Ready: true}})
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for n := range 300 {
+		_, err := fmt.Fprintf(conn, `{"from":"b","host":{"name":"b","role":"entry","address":"127.0.0.1:%d"}}`, 20000+n)
+		is.NoErr(err)
+		time.Sleep(time.Millisecond)
+	}
+	<-done
+}
