--- a/parts/rankload/rankload.go
+++ b/parts/rankload/rankload.go
@@ -159,7 +159,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		j := p.jobs[id]
 		switch {
-		case j.told > 0 && j.told < maxTold:
+		case j.told > 0 && j.told < maxTold: // told again
 		case j.told == 0 && j.request.Movable && p.tooSlow(j.engine):
 			if j.engine = p.best(now, j.request.Zone, []string{j.engine}); p.tooSlow(j.engine) {
 				continue // all are
