Log the prompt parts and the progress of requests whose target died

The lines couldn't tell the hypotheses apart: they named neither what requests share nor whether the target had begun to answer. A counter camphormill_target_deaths_total goes with them. No decision changes.

--- a/entryd/frontend/observer.go
+++ b/entryd/frontend/observer.go
@@ -51,3 +51,8 @@
 	}
 	o.set.GetOrCreateHistogram(fmt.Sprintf(`camphormill_request_seconds{organisation=%q}`, organisation)).Update(r.Duration.Seconds())
 }
+
+// countTargetDeath counts a request whose target died while it ran the request.
+func (o *observer) countTargetDeath(service string) {
+	o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_target_deaths_total{service=%q}`, service)).Inc()
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -66,6 +66,8 @@
 	// OnStrike is called with each strike that this relay records, to notify the peers that
 	// a request killed a target.
 	OnStrike func(s quarantine.Strike)
+	// OnTargetDeath is called for each request whose target died while it ran the request.
+	OnTargetDeath func(service string)
 	// OnOutcome is called at the end of each request.
 	OnOutcome func(o Outcome)
 	Log       zerolog.Logger
@@ -145,6 +147,7 @@
 	headSent      bool // the response header has been sent
 	firstByteAt   time.Time
 	lastEventID   string   // ID of the last event sent to the caller
+	events        int      // number of events sent to the caller
 	attempts      int      // as in Outcome
 	mayHaveRun    bool     // a target may have run the request
 	failedTargets []string // IDs of targets that should not be selected again
@@ -437,6 +440,7 @@
 	age, _ := rl.config.View.ProofAge()
 	event.Str("request", c.info.AttemptID).Str("organisation", c.outcome.Organisation).Str("route", c.outcome.Route).
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
+		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).
 		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).
 		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
@@ -449,10 +453,21 @@
 	s := rl.strikes.Add(rl.config.Now(), c.fingerprint, t.ID)
 	count := rl.strikes.Strikes(rl.config.Now(), c.fingerprint)
 	rl.mu.Unlock()
-	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("target", t.ID).Int("strikes", count).Msg("target died while running the request")
+	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Str("address", t.Address).Int("strikes", count).
+		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Msg("target died while running the request")
+	rl.config.OnTargetDeath(t.Service)
 	rl.config.OnStrike(s)
 }
 
+// formatParts returns the IDs of prompt parts as callers write them.
+func formatParts(parts []uint64) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, strconv.FormatUint(p, 16))
+	}
+	return ids
+}
+
 // targetRequest returns the request to send to a target: the caller's request with the
 // headers set by Protocol.SetHeaders.
 func (rl *Relay) targetRequest(c *call, t registry.Target) *http.Request {
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -48,6 +48,7 @@
 		if err := controller.Flush(); err != nil {
 			return result{answered: true, broken: true}
 		}
+		c.events++
 		if id, ok := eventID(event); ok {
 			c.lastEventID = id
 		}
