Quarantine prompt parts that kill the targets which begin to answer them

Requests that share one prompt part, and nothing else, killed a rank every 4 to 5 s, and each death cost the whole group about 4 s.

Cause: strikes belong to a whole request (organisation, path, body). No two of these requests are alike, so no strike met its request again. Class: harm is counted by an identity that is finer than its cause.

Ruled out: strikes that don't reach other entries (all strikes stayed at 1), retries that spread the crash (no request id at two engines).

Change: the relay suspects each shared part of a request whose target died (refuses connections) before it had sent two events. Answers clear parts, also those that other entries have seen: the entry that saw the death asks them. A suspect is refused for 30 s with a retry-after, then tried by one request, and refused for 10 min if that kills another target. Records of a part hold ages and merge in any order; an entry that starts or was cut off gets them from its peers. A request that its target had begun to answer gets no strike any more: it didn't kill the target.

Why it works: the part that kills never has an answer, every other part has one soon. Parts that have been answered in the last 5 min need two deaths, and deaths that another part explains don't count.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -131,6 +131,7 @@
 	"stream_broken":      "its stream broke off and could not be resumed",
 	"timeout":            "its deadline passed while a target ran it; it may have run",
 	"timeout_waiting":    "its deadline passed before a target got it; it did not run",
+	"part_quarantined":   "a part of its prompt is suspected of crashing targets; it did not run",
 	"quarantined":        "it has crashed targets before; it did not run",
 }
 
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -133,7 +134,7 @@
 	s.mesh, err = mesh.Listen(mesh.Config{
 		Self: c.Self, PeerTimeout: heartbeatTimeout, Now: time.Now, Handle: s.handleMessage, Log: daemon.PartLogger(c.Log, "mesh"),
 		OnLost:  func(h mesh.Host) { c.Log.Warn().Str("host", h.Name).Str("role", string(h.Role)).Msg("host lost") },
-		OnAlive: func(h mesh.Host) { c.Log.Info().Str("host", h.Name).Str("role", string(h.Role)).Msg("host found") },
+		OnAlive: s.welcomeHost,
 	})
 	if err != nil {
 		return err
@@ -143,6 +144,7 @@
 		age, _ := s.view.ProofAge()
 		return age.Seconds()
 	})
+	s.metrics.set.NewGauge(`camphormill_prompt_parts_suspected`, func() float64 { return float64(len(s.relay.SuspectedParts())) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
@@ -157,7 +159,7 @@
 	s.relay = relay.New(relay.Config{
 		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Client: s.client, Now: time.Now,
 		MaxProofAge: time.Duration(revocationBoundShare * float64(c.RevocationBound)), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
-		OnStrike: s.broadcastStrike, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
+		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
 	return nil
 }
@@ -172,6 +174,8 @@
 		strike := m.Strike.Strike
 		strike.Until = time.Now().Add(time.Duration(m.Strike.RemainingSeconds) * time.Second)
 		s.relay.MergeStrike(strike)
+	case m.PartRecords != nil:
+		s.mergePartRecords(from, *m.PartRecords)
 	case m.RequestEngineSettings != "":
 		s.sendEngineSettings(from, m.RequestEngineSettings)
 	case m.Order != nil:
@@ -218,6 +222,34 @@
 	}
 }
 
+// broadcastParts tells the other entries what this one knows of prompt parts.
+func (s *Server) broadcastParts(records []quarantine.PartRecord, query bool) {
+	for _, h := range s.mesh.Known(mesh.RoleEntry) {
+		s.mesh.Send(h.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: records, Query: query}})
+	}
+}
+
+// mergePartRecords adds what another entry knows of prompt parts, and answers its query.
+func (s *Server) mergePartRecords(from mesh.Host, m mesh.PartRecords) {
+	s.relay.MergeParts(m.Records)
+	if !m.Query {
+		return
+	}
+	answered := slices.DeleteFunc(s.relay.PartRecords(m.Records), func(r quarantine.PartRecord) bool { return !r.Answered })
+	if len(answered) > 0 {
+		s.mesh.Send(from.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: answered}})
+	}
+}
+
+// welcomeHost tells an entry that has started, or that was cut off, which prompt parts are
+// suspected of killing targets.
+func (s *Server) welcomeHost(h mesh.Host) {
+	s.config.Log.Info().Str("host", h.Name).Str("role", string(h.Role)).Msg("host found")
+	if suspects := s.relay.SuspectedParts(); h.Role == mesh.RoleEntry && len(suspects) > 0 {
+		s.mesh.Send(h.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: suspects}})
+	}
+}
+
 // runHeartbeats sends heartbeats to the other entries until the context ends. At the same
 // interval it checks for lost hosts and closes idle connections to targets.
 func (s *Server) runHeartbeats(ctx context.Context) {
--- /dev/null
+++ b/entryd/frontend/parts_test.go
@@ -0,0 +1,87 @@
+package frontend_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/entryd/frontend"
+	"camphormill.dev/entryd/relay"
+	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/registry"
+)
+
+// startPeer starts an entry of a fleet of the given hosts, whose requests all have one prompt part.
+func startPeer(t *testing.T, name string, hosts *[]mesh.Host, targets []registry.Target) frontend.Config {
+	t.Helper()
+	c := newConfig(t, 0)
+	c.Self.Name = name
+	*hosts = append(*hosts, c.Self)
+	c.Hosts.Hosts = func(context.Context) ([]mesh.Host, error) { return *hosts, nil }
+	c.Store.ListTargets = func(context.Context) ([]registry.Target, int64, error) { return targets, 1, nil }
+	c.Protocol.Read = func(*http.Request) relay.RequestInfo { return relay.RequestInfo{SharedParts: []uint64{1}} }
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.New(t).NoErr(k.Start(context.Background()))
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	for addresses, i := "", 0; addresses == "" && i < 300; i++ {
+		time.Sleep(10 * time.Millisecond)
+		addresses, _ = get(c.DirectoryAddress, "")
+	}
+	return c
+}
+
+// status returns the status of a request to an entry, or 0 if it was not answered.
+func status(address string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		return 0
+	}
+	r.Host = "h"
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestLateEntryRefusesDeadlyPart guards against an entry that starts after a target died and lets
+// the same prompt part kill another one.
+func TestLateEntryRefusesDeadlyPart(t *testing.T) {
+	is := is.New(t)
+	var deaths atomic.Int64
+	dying := func(w http.ResponseWriter, r *http.Request) {
+		deaths.Add(1)
+		if server, ok := r.Context().Value(http.ServerContextKey).(*http.Server); ok {
+			go func() { _ = server.Close() }()
+		}
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			time.Sleep(30 * time.Millisecond) // so that the listener closes before the connection
+			_ = conn.Close()
+		}
+	}
+	var targets []registry.Target
+	for _, id := range []string{"t0", "t1"} {
+		server := httptest.NewServer(http.HandlerFunc(dying))
+		t.Cleanup(server.Close)
+		targets = append(targets, registry.Target{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), State: registry.Ready})
+	}
+	var hosts []mesh.Host
+	first := startPeer(t, "e1", &hosts, targets)
+	is.Equal(status(first.CallersAddress), http.StatusBadGateway) // its target died
+	is.Equal(status(first.CallersAddress), http.StatusServiceUnavailable)
+	late := startPeer(t, "e2", &hosts, targets)
+	time.Sleep(700 * time.Millisecond) // both entries have sent a heartbeat
+	for range 4 {
+		is.Equal(status(late.CallersAddress), http.StatusServiceUnavailable)
+	}
+	is.Equal(deaths.Load(), int64(1))
+}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -26,7 +25,9 @@
 	sent       bool // the target may have received the request
 	mayHaveRun bool // the target may have run the request
 	moved      bool // the leader moved the request to another target
-	refusal    refusal
+	// quarantined is set if the request was not sent because of its prompt parts.
+	quarantined bool
+	refusal     refusal
 }
 
 // errMoved is the cancellation cause of an attempt whose request continues at another
@@ -39,6 +40,9 @@
 // attempt sends the request to one target and relays its response. Only relayResponse may
 // make a further attempt, after a server error.
 func (rl *Relay) attempt(ctx context.Context, c *call, t registry.Target, grant slotGrant) result {
+	if refused := rl.startAttempt(c); refused != nil {
+		return result{quarantined: true, refusal: *refused}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if rl.movable(c) {
@@ -117,17 +121,6 @@
 	return r
 }
 
-// strikeIfDead records a strike against the request if its target accepts no connections
-// any more.
-func (rl *Relay) strikeIfDead(c *call, t registry.Target) {
-	conn, err := net.DialTimeout("tcp", t.Address, livenessTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	rl.recordStrike(c, t)
-}
-
 // relayResponse sends a target's response to the caller. If the response is a server error
 // and the route is idempotent, it first tries another target if that is allowed, and sends
 // the server error only if the caller gets no response from the other attempt.
@@ -158,6 +151,7 @@
 		}
 	} else {
 		rl.loads.recordSuccess(t.ID)
+		rl.recordAnswered(c)
 	}
 	rl.copyHeader(c, a)
 	if int64(len(body)) == maxBufferedBody {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -39,11 +39,6 @@
 	// must not be repeated: the target may be about to close a connection that was idle
 	// longer.
 	nonRepeatableMaxIdle = 400 * time.Millisecond
-	// quarantineStrikes is the number of targets that may die while running a request
-	// before the request is refused.
-	quarantineStrikes = 2
-	// livenessTimeout bounds the connection attempt that decides whether a target is dead.
-	livenessTimeout = 250 * time.Millisecond
 )
 
 // Config holds the dependencies and limits of a Relay.
@@ -66,6 +61,9 @@
 	// OnStrike is called with each strike that this relay records, to notify the peers that
 	// a request killed a target.
 	OnStrike func(s quarantine.Strike)
+	// ShareParts sends what this relay knows of prompt parts to the other entries. If query is
+	// set, they answer with what they know of the same parts. It must not block.
+	ShareParts func(records []quarantine.PartRecord, query bool)
 	// OnTargetDeath is called for each request whose target died while it ran the request.
 	OnTargetDeath func(service string)
 	// OnOutcome is called at the end of each request.
@@ -93,6 +91,7 @@
 	mu           sync.Mutex
 	retryBudgets map[string]*limit.RetryBudget
 	strikes      *quarantine.List
+	parts        *quarantine.PartList
 	draining     bool
 	// streamsRefused is set when the entry is about to stop and a response that lasts
 	// seconds would be cut off.
@@ -101,7 +100,7 @@
 
 // New returns a relay with full retry budgets and no strikes.
 func New(c Config) *Relay {
-	return &Relay{config: c, loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList()}
+	return &Relay{config: c, loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
 }
 
 // StartDrain starts draining: every response asks its caller to close the connection.
@@ -141,6 +140,7 @@
 	deadline      time.Time
 	limits        routes.Limits
 	fingerprint   uint64
+	parts         []quarantine.PartID // shared parts of the prompt
 	routesVersion int64
 
 	writer        http.ResponseWriter
@@ -148,6 +148,7 @@
 	firstByteAt   time.Time
 	lastEventID   string   // ID of the last event sent to the caller
 	events        int      // number of events sent to the caller
+	attemptEvents int      // those of the latest attempt
 	attempts      int      // as in Outcome
 	mayHaveRun    bool     // a target may have run the request
 	failedTargets []string // IDs of targets that should not be selected again
@@ -251,6 +252,12 @@
 	}
 	c.body = body
 	c.fingerprint = quarantine.Fingerprint(c.info.Key, c.request.Method+" "+c.request.RequestURI, body)
+	for _, part := range c.info.SharedParts {
+		c.parts = append(c.parts, quarantine.NewPartID(c.service.Name, part))
+	}
+	if refused := rl.refuseParts(c); refused != nil {
+		return refused
+	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	if rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes {
@@ -352,6 +359,9 @@
 // mayRetry reports whether the request may be sent to another target. If the last target
 // may have received the request, a retry is withdrawn from the service's budget.
 func (rl *Relay) mayRetry(c *call, r result) bool {
+	if r.quarantined {
+		return false
+	}
 	if r.sent && r.mayHaveRun && !c.route.MayRepeat() {
 		return false
 	}
@@ -446,28 +456,6 @@
 	rl.config.OnOutcome(c.outcome)
 }
 
-// recordStrike records that a target died while running the request, and notifies the
-// peers. The target's ID identifies the death, because a restarted target has another ID.
-func (rl *Relay) recordStrike(c *call, t registry.Target) {
-	rl.mu.Lock()
-	s := rl.strikes.Add(rl.config.Now(), c.fingerprint, t.ID)
-	count := rl.strikes.Strikes(rl.config.Now(), c.fingerprint)
-	rl.mu.Unlock()
-	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Str("address", t.Address).Int("strikes", count).
-		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Msg("target died while running the request")
-	rl.config.OnTargetDeath(t.Service)
-	rl.config.OnStrike(s)
-}
-
-// formatParts returns the IDs of prompt parts as callers write them.
-func formatParts(parts []uint64) []string {
-	ids := make([]string, 0, len(parts))
-	for _, p := range parts {
-		ids = append(ids, strconv.FormatUint(p, 16))
-	}
-	return ids
-}
-
 // targetRequest returns the request to send to a target: the caller's request with the
 // headers set by Protocol.SetHeaders.
 func (rl *Relay) targetRequest(c *call, t registry.Target) *http.Request {
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -49,6 +49,9 @@
 			return result{answered: true, broken: true}
 		}
 		c.events++
+		if c.attemptEvents++; c.attemptEvents == answeredEvents {
+			rl.recordAnswered(c)
+		}
 		if id, ok := eventID(event); ok {
 			c.lastEventID = id
 		}
@@ -63,6 +66,7 @@
 		c.writer.WriteHeader(a.StatusCode)
 	}
 	rl.loads.recordSuccess(c.targetID)
+	rl.recordAnswered(c)
 	return result{answered: true}
 }
 
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -47,6 +47,7 @@
 	Order                 *Order              `json:"order,omitempty"`
 	OrderResult           *OrderResult        `json:"ordered,omitempty"`
 	Strike                *Strike             `json:"strike,omitempty"`
+	PartRecords           *PartRecords        `json:"part_records,omitempty"`
 }
 
 // EngineSettings holds the published engine parameters of a service.
@@ -180,3 +181,10 @@
 	Strike           quarantine.Strike `json:"strike"`
 	RemainingSeconds int               `json:"lasts_s"` // time until the strike expires
 }
+
+// PartRecords passes on what an entry knows of prompt parts that may kill targets.
+type PartRecords struct {
+	Records []quarantine.PartRecord `json:"records"`
+	// Query asks the receiver for what it knows of the same parts.
+	Query bool `json:"query,omitempty"`
+}
--- /dev/null
+++ b/parts/quarantine/parts_test.go
@@ -0,0 +1,128 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/quarantine"
+)
+
+const (
+	sound  = quarantine.PartID(1)
+	deadly = quarantine.PartID(2)
+	other  = quarantine.PartID(3)
+)
+
+func refused(l *quarantine.PartList, now time.Time, parts ...quarantine.PartID) bool {
+	_, refused := l.Refused(now, parts)
+	return refused
+}
+
+func ExamplePartList() {
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	l := quarantine.NewPartList()
+	common, added := quarantine.NewPartID("brief-model", 0xa1), quarantine.NewPartID("brief-model", 0xd2)
+	l.Answered(now, []quarantine.PartID{common})
+	l.AddDeath(now.Add(time.Second), "t1", []quarantine.PartID{common, added})
+	_, commonRefused := l.Refused(now.Add(time.Second), []quarantine.PartID{common})
+	until, addedRefused := l.Refused(now.Add(time.Second), []quarantine.PartID{common, added})
+	fmt.Println(commonRefused, addedRefused, until.Format(time.TimeOnly))
+	// Output: false true 09:00:31
+}
+
+func TestAnswerClearsSuspectedPart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.AddDeath(now, "t1", []quarantine.PartID{sound})
+	is.True(refused(l, now, sound))
+	is.Equal(l.Answered(now.Add(time.Second), []quarantine.PartID{sound}), []quarantine.PartID{sound})
+	is.True(!refused(l, now.Add(time.Second), sound))
+}
+
+// TestSuspectedPartIsTriedByOneRequest checks that a part is tried by one request when its first
+// hold is over, and refused much longer if another target dies.
+func TestSuspectedPartIsTriedByOneRequest(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
+	until, _ := l.Refused(now, []quarantine.PartID{deadly})
+	now = until.Add(time.Millisecond)
+	is.True(!refused(l, now, deadly))
+	is.Equal(l.StartTrial(now, []quarantine.PartID{deadly}), []quarantine.PartID{deadly})
+	is.True(refused(l, now, deadly)) // the next request waits for the outcome
+	l.AddDeath(now, "t2", []quarantine.PartID{deadly})
+	is.True(refused(l, now.Add(5*time.Minute), deadly))
+}
+
+// TestDeathIsExplainedByAnotherPart checks that a part which has never been answered does not stay
+// refused because of a request that a deadly part was in too.
+func TestDeathIsExplainedByAnotherPart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.AddDeath(now, "t1", []quarantine.PartID{sound, deadly})
+	is.True(refused(l, now, sound))
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{other, deadly})
+	is.True(!refused(l, now.Add(time.Second), sound))
+	is.True(!refused(l, now.Add(time.Second), other))
+	is.True(refused(l, now.Add(time.Second), deadly))
+}
+
+// TestTargetsThatDieTogetherCountOnce guards against quarantining a part for long because several
+// hosts that ran requests with it failed at the same moment.
+func TestTargetsThatDieTogetherCountOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.Answered(now.Add(-time.Second), []quarantine.PartID{sound})
+	for i := range 4 {
+		l.AddDeath(now.Add(time.Duration(i)*100*time.Millisecond), fmt.Sprint("t", i), []quarantine.PartID{sound})
+	}
+	is.True(!refused(l, now.Add(time.Second), sound))
+}
+
+// TestPartRecordsMergeInAnyOrder checks that entries agree on a part whatever the order in which
+// the records of their peers arrive, also if some arrive twice.
+func TestPartRecordsMergeInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	parts := []quarantine.PartID{sound, deadly, other}
+	var messages [][]quarantine.PartRecord
+	for i := range 4 {
+		l := quarantine.NewPartList()
+		l.Answered(now.Add(-time.Duration(i)*time.Second), []quarantine.PartID{sound})
+		l.AddDeath(now.Add(time.Duration(i)*time.Second), fmt.Sprint("t", i), []quarantine.PartID{parts[i%3], deadly})
+		messages = append(messages, l.Records(now.Add(10*time.Second), parts))
+	}
+	now = now.Add(10 * time.Second)
+	for seed := range uint64(50) {
+		order := rand.New(rand.NewPCG(seed, seed)).Perm(len(messages))
+		l := quarantine.NewPartList()
+		for _, i := range append(order, order[0]) {
+			l.Merge(now, messages[i])
+		}
+		is.True(refused(l, now, deadly))
+		is.True(!refused(l, now, sound))
+		is.True(!refused(l, now, other))
+	}
+}
+
+// TestManyPartsDoNotReleaseSuspect guards against a deadly part that is forgotten because callers
+// send many other parts, and against memory that grows with what they send.
+func TestManyPartsDoNotReleaseSuspect(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
+	for i := range 100_000 {
+		l.Answered(now, []quarantine.PartID{quarantine.PartID(1000 + i)})
+	}
+	is.True(refused(l, now, deadly))
+	is.True(l.Len() <= 3*8192)
+}
