Close a group as soon as a rank's engine refuses connections

Callers saw: for 1.6 s after the death of a rank, requests went to the other ranks, stalled until those gave up waiting (stall_ms) and ended as broken streams or as 'not run' with an attempt spent.

Cause: the leader takes the group's state from the ranks' reports, and a rank that waits for a dead one reports that its group is open until it gives up. The daemon beside the dead engine saw the refused connection within 0.1 s, but sent no report at all.

Ruled out: lost announcements (entries learn within one message of the leader's change).

Change: the daemon reports that its engine is down. The leader closes the group at once, and plans no switch of the expert map meanwhile. A down engine of an older epoch doesn't count, so a group that was formed again without it opens.

TestGroupClosesWhenEngineDies fails before: the entry hears nothing for 500 ms.

--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -122,12 +122,15 @@
 
 // RankReport is the report of a target daemon about the state of its engine.
 type RankReport struct {
-	Service  string          `json:"service"`
-	Engine   string          `json:"engine"`
-	Group    string          `json:"group"`
-	Rank     int             `json:"rank"`
-	Size     int             `json:"size"` // number of ranks in the group
-	Open     bool            `json:"open"` // the engine reports that its group accepts requests
+	Service string `json:"service"`
+	Engine  string `json:"engine"`
+	Group   string `json:"group"`
+	Rank    int    `json:"rank"`
+	Size    int    `json:"size"` // number of ranks in the group
+	Open    bool   `json:"open"` // the engine reports that its group accepts requests
+	// Down is set if the engine refuses connections since it was last read, so that its group
+	// cannot step.
+	Down     bool            `json:"down,omitempty"`
 	View     mapswitch.View  `json:"view"`
 	Queued   int             `json:"queued"`            // requests
 	Active   int             `json:"active"`            // requests
--- a/targetd/rankagent/agent.go
+++ b/targetd/rankagent/agent.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/parts/mapswitch"
@@ -126,6 +128,7 @@
 	report, err := a.config.Engine.Read(ctx, a.config.Self.Engine)
 	a.setEngineReadable(err)
 	if err != nil {
+		a.setEngineDown(errors.Is(err, syscall.ECONNREFUSED))
 		return
 	}
 	a.mu.Lock()
@@ -166,6 +169,14 @@
 	a.config.Log.Info().Str("engine", a.config.Self.Engine).Msg("engine is reachable again")
 }
 
+// setEngineDown records whether the engine refuses connections, which the next report tells the
+// leader. The leader would learn it from the other ranks only when they give up waiting.
+func (a *Agent) setEngineDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rank.Down = down
+}
+
 // setReport records a report of the local engine. A nil layout keeps the known experts, unless the
 // map or the epoch has changed; nil choices keep the known counts. When the engine's group has
 // changed, the agent stops leading and forgets the leader's announcement.
@@ -231,7 +242,7 @@
 	defer a.mu.Unlock()
 	v := r.View
 	v.Pass = a.lastReported.Pass // a new pass alone does not make a report due
-	changed := v != a.lastReported || v.Held != mapswitch.NoPass || v.Armed != 0
+	changed := r.Down || v != a.lastReported || v.Held != mapswitch.NoPass || v.Armed != 0
 	if !changed && r.Choices == nil && cycle%largeGroupReportInterval != 0 {
 		return false
 	}
--- a/targetd/rankagent/group_test.go
+++ b/targetd/rankagent/group_test.go
@@ -6,10 +6,12 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/parts/mapswitch"
@@ -44,6 +46,9 @@
 	// announcements counts the leader announcements that the entry received, and
 	// closedAnnouncements those that said that the group is closed.
 	announcements, closedAnnouncements int
+	lastAnnouncedOpen                  bool
+	// refusing is set for the ranks whose engines refuse connections.
+	refusing [groupRanks]bool
 }
 
 type fakeEngine struct {
@@ -185,6 +190,9 @@
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			rank := engines[address]
+			if g.refusing[rank] {
+				return rankagent.Report{}, errors.Wrap(syscall.ECONNREFUSED, "dial")
+			}
 			return rankagent.Report{Group: "g", Rank: rank, Size: groupRanks, Open: true, View: g.engines[rank].view, Slowdown: 1}, nil
 		},
 		ExpertCounts: func(context.Context) ([]int64, error) {
@@ -312,6 +320,7 @@
 		return
 	}
 	g.announcements++
+	g.lastAnnouncedOpen = l.Open
 	if !l.Open {
 		g.closedAnnouncements++
 	}
@@ -337,6 +346,49 @@
 	is.Equal(closed, 0)
 }
 
+// awaitAnnouncement waits until the entry has heard that the group is open, or closed, and returns
+// whether it has within the time limit.
+func (g *fakeGroup) awaitAnnouncement(open bool, limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		g.mu.Lock()
+		heard := g.announcements > 0 && g.lastAnnouncedOpen == open
+		g.mu.Unlock()
+		if heard {
+			return true
+		}
+	}
+	return false
+}
+
+// TestGroupClosesWhenEngineDies guards against a leader that keeps granting slots until the other
+// ranks, which wait for the dead one, report that their group is broken. A rank whose engine stays
+// away must not keep a group closed that has been formed again without it.
+func TestGroupClosesWhenEngineDies(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newFakeGroup(30 * time.Millisecond)
+	g.start(t, ctx)
+	setRefusing := func(rank int, refusing bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.refusing[rank] = refusing
+	}
+	is.True(g.awaitAnnouncement(true, 5*time.Second))
+	setRefusing(2, true)
+	is.True(g.awaitAnnouncement(false, 500*time.Millisecond))
+	setRefusing(2, false)
+	is.True(g.awaitAnnouncement(true, 500*time.Millisecond))
+	setRefusing(3, true)
+	is.True(g.awaitAnnouncement(false, 500*time.Millisecond))
+	g.mu.Lock()
+	for i := range g.engines[:3] {
+		g.engines[i].view.Epoch++
+	}
+	g.mu.Unlock()
+	is.True(g.awaitAnnouncement(true, time.Second))
+}
+
 // TestDemandShiftCausesOneSwitch uses slow passes, so that the held pass begins well after the
 // switch has ended for the leader. A leader that planned in between would take the old layout
 // for the current one and copy all replicas again.
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -138,7 +138,7 @@
 	epoch := l.ranks[0].rank.View.Epoch
 	for i := range size {
 		r, ok := l.ranks[i]
-		if !ok || now.Sub(r.receivedAt) > maxReportAge || r.rank.View.Epoch != epoch {
+		if !ok || r.rank.Down || now.Sub(r.receivedAt) > maxReportAge || r.rank.View.Epoch != epoch {
 			return false
 		}
 	}
@@ -165,9 +165,12 @@
 	var usable []rankscheduler.Rank
 	for _, i := range sortedRanks(l.ranks) {
 		r := l.ranks[i]
+		if r.rank.Down && r.rank.View.Epoch < epoch {
+			continue // the group was formed again without it
+		}
 		if now.Sub(r.receivedAt) < maxReportAge {
 			fresh++
-			open = open && r.rank.Open
+			open = open && r.rank.Open && !r.rank.Down
 		}
 		if r.rank.View.Epoch == epoch {
 			usable = append(usable, rankscheduler.Rank{Engine: r.rank.Engine, Zone: zones[r.rank.Engine], Slots: l.settings.Slots, Active: r.rank.Active + r.rank.Queued, Slowdown: r.rank.Slowdown})
