Tell callers of a closed group to come back when it should be open

Callers saw: refused with a retry-after of 1 s while the group was closed for 4 s. They came back to a closed group and were refused for good, as clients repeat a refused request once.

Cause: the retry-after was a constant, whatever the group's outage.

What remains: streams that ran or came in the first 1.3 s of the outage, since clients wait a third of their time at most.

TestRefusedRequestReturnsWhenGroupIsOpen fails with the constant.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -73,7 +73,7 @@
 			Str("class", string(class)).Str("fault", fault).Msg("target did not run the request")
 		retryAfter := defaultRetryAfter
 		if needsSlot(c.service) {
-			retryAfter = groupClosedRetryAfter
+			retryAfter = rl.config.Slots.closedRetryAfter(c.service.Name)
 		}
 		rl.loads.recordRefusal(rl.config.Now(), t.ID, class == WrongTarget)
 		if class == WrongTarget {
--- a/entryd/relay/move_test.go
+++ b/entryd/relay/move_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -140,3 +141,18 @@
 		is.Equal(body, "answer of fast")
 	}
 }
+
+// TestRefusedRequestReturnsWhenGroupIsOpen guards against a retry-after that ends while the group is
+// still closed, so that the caller is refused a second time.
+func TestRefusedRequestReturnsWhenGroupIsOpen(t *testing.T) {
+	is := is.New(t)
+	e := startWith(t, streamRoute(2), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, serve("t0"))
+	e.slots.Handle(mesh.Host{Name: "leader"}, mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: "s", Group: "g", Fence: 1, OpensInMS: 3000}})
+	status, header, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retryAfter > 2.5 && retryAfter < 5)
+	is.Equal(e.runCount(), 0)
+}
--- a/entryd/relay/slots.go
+++ b/entryd/relay/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,8 +27,8 @@
 	// queuedRequestInterval is the time after which a queued call asks again, in case a
 	// response was lost.
 	queuedRequestInterval = 150 * time.Millisecond
-	// groupClosedRetryAfter is the retry-after for a closed group: a group opens about this
-	// long after its last rank is back.
+	// groupClosedRetryAfter is the retry-after for a group that may open at any moment: it
+	// opens about this long after its last rank is back.
 	groupClosedRetryAfter = time.Second
 )
 
@@ -62,10 +63,22 @@
 	host        string
 	fence       mapswitch.Fence
 	open        bool
-	slowEngines []string // addresses of engines that should get no requests
+	opensAt     time.Time // when a closed group is expected to open; may be past
+	slowEngines []string  // addresses of engines that should get no requests
 	lastHeardAt time.Time
 }
 
+// retryAfter returns when a request that a closed group can't serve should come back. Callers that
+// come back at the same moment would only be refused again, so they are spread over half of the
+// time that is left.
+func (g groupLeader) retryAfter(now time.Time) time.Duration {
+	left := g.opensAt.Sub(now)
+	if left <= 0 {
+		return groupClosedRetryAfter
+	}
+	return left + rand.N(left/2+1)
+}
+
 // NewSlotClient returns a SlotClient without known leaders.
 func NewSlotClient(c SlotClientConfig) *SlotClient {
 	return &SlotClient{config: c, leaders: map[string]groupLeader{}, pending: map[string]chan mesh.SlotResponse{}, held: map[string]*heldSlot{}}
@@ -138,7 +151,7 @@
 		c.config.Log.Info().Str("leader", from.Name).Str("service", announcement.Service).Int64("fence", int64(announcement.Fence)).
 			Bool("open", announcement.Open).Msg("leader or state of the group changed")
 	}
-	c.leaders[announcement.Service] = groupLeader{host: from.Name, fence: announcement.Fence, open: announcement.Open, slowEngines: announcement.SlowEngines, lastHeardAt: now}
+	c.leaders[announcement.Service] = groupLeader{host: from.Name, fence: announcement.Fence, open: announcement.Open, opensAt: now.Add(time.Duration(announcement.OpensInMS) * time.Millisecond), slowEngines: announcement.SlowEngines, lastHeardAt: now}
 }
 
 // Fenced reports whether a leader with a higher fencing token is known for the service.
@@ -148,6 +161,18 @@
 	return fence < c.leaders[service].fence
 }
 
+// closedRetryAfter returns when a request should come back that a target refused because its group
+// is closed, or soon will be known to be.
+func (c *SlotClient) closedRetryAfter(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	leader := c.leaders[service]
+	if leader.open {
+		return groupClosedRetryAfter
+	}
+	return leader.retryAfter(c.config.Now())
+}
+
 // slowEngines returns the addresses of a service's engines that should get no requests, as
 // last reported by its leader.
 func (c *SlotClient) slowEngines(service string) []string {
@@ -180,7 +205,7 @@
 	}
 	if !leader.open {
 		c.mu.Unlock()
-		noGrant.refused, noGrant.retryAfter = true, groupClosedRetryAfter
+		noGrant.refused, noGrant.retryAfter = true, leader.retryAfter(c.config.Now())
 		return noGrant
 	}
 	request.ID += "." + strconv.FormatInt(c.sequence.Add(1), 36)
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -147,6 +147,9 @@
 	Group   string          `json:"group"`
 	Fence   mapswitch.Fence `json:"fence"`
 	Open    bool            `json:"open"` // the group accepts requests
+	// OpensInMS is the time, in milliseconds from sending, after which a closed group is expected
+	// to accept requests again; 0 if it could open at any moment.
+	OpensInMS int `json:"opens_in_ms,omitempty"`
 	// SlowEngines lists the addresses of slow engines, which should get no requests.
 	SlowEngines []string `json:"slow,omitempty"`
 }
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -85,7 +85,8 @@
 	newChoices     [][]float64 // choices since the last update of demand, by set and expert
 	announcedAt    time.Time   // of the last announcement; zero makes the next one due
 	open           bool        // the group accepts requests
-	slowEngines    []string    // engines that are too slow to receive requests
+	outages        outages
+	slowEngines    []string // engines that are too slow to receive requests
 
 	current        *mapswitch.Switch // nil between two switches
 	layouts        [][][]int         // layouts of the current switch, by set and rank
@@ -141,7 +142,7 @@
 		return
 	}
 	l.announcedAt = now
-	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, SlowEngines: l.slowEngines}}
+	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, OpensInMS: int(l.outages.opensIn(now).Milliseconds()), SlowEngines: l.slowEngines}}
 	roles := []mesh.Role{mesh.RoleTarget, mesh.RoleEntry}
 	if !l.open && now.Sub(l.startedAt) < discoveryGracePeriod {
 		roles = roles[:1] // entries would refuse requests of a group that may be open
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -178,8 +178,8 @@
 	}
 	open = open && fresh > 0
 	if open != l.open {
-		l.log.Info().Bool("open", open).Int64("epoch", epoch).Int("ranks", len(usable)).Msg("group state changed")
-		l.open = open
+		l.open, l.outages = open, l.outages.withState(now, open)
+		l.log.Info().Bool("open", open).Int64("epoch", epoch).Int("ranks", len(usable)).Dur("opens_in", l.outages.opensIn(now)).Msg("group state changed")
 		l.announcedAt = time.Time{}
 		l.announce(now)
 	}
