Quarantine prompt prefixes that kill targets, in the dispatcher too

The same cause on the other request path: the dispatcher's strikes belong to a whole request, so drafts that share nothing but a deadly prompt prefix kill one target after another. Its targets also report one engine's death to every request that ran there, and each got a strike.

Change: the dispatcher suspects the prefix of a draft whose target died before its second token, with the same PartList, and asks its peers in the call that tells them. A peer that starts, or compares all records, gets the suspected parts. A draft that its target had begun to answer gets no strike.

The target daemon needs no change: it keeps no strikes, and answers an engine's death to each request by itself.

With the exchange off, TestUnsharedPartsKillMoreTargets sees a third target die.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -116,6 +116,12 @@
 		OnStrike: func(strike quarantine.Strike) {
 			kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).MergeStrike(strike)
 		},
+		OnParts: func(records []quarantine.PartRecord) []quarantine.PartRecord {
+			return kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).MergeParts(records)
+		},
+		SuspectedParts: func() []quarantine.PartRecord {
+			return kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).SuspectedParts()
+		},
 		Logger: daemon.PartLogger(log, servicePeers),
 	})
 	for _, peer := range s.Peers {
@@ -165,6 +171,7 @@
 		Preset:              kernel.Get[*preset.Store](k, serviceStore).ActivePreset,
 		Claimer:             dispatch.Claimer{Claim: claimer.Claim, Replace: claimer.Replace},
 		BroadcastStrike:     kernel.Get[*peers.Peers](k, servicePeers).BroadcastStrike,
+		ShareParts:          kernel.Get[*peers.Peers](k, servicePeers).ExchangeParts,
 		Logger:              daemon.PartLogger(log, serviceDispatch),
 	})
 }
--- a/entryd/dispatch/dispatch.go
+++ b/entryd/dispatch/dispatch.go
@@ -65,7 +65,10 @@
 	// BroadcastStrike sends a strike, the record that a target died while it ran a request,
 	// to the peers and waits for them, within a bound, before it returns.
 	BroadcastStrike func(ctx context.Context, s quarantine.Strike)
-	Logger          zerolog.Logger
+	// ShareParts sends what this entry knows of prompt parts to the peers, and returns what they
+	// know of the same parts. It waits for them within a bound.
+	ShareParts func(ctx context.Context, records []quarantine.PartRecord) []quarantine.PartRecord
+	Logger     zerolog.Logger
 }
 
 // Dispatcher runs requests on targets. It is safe for concurrent use.
@@ -75,6 +78,7 @@
 	mu       sync.Mutex
 	budget   *limit.RetryBudget
 	strikes  *quarantine.List
+	parts    *quarantine.PartList
 	suspects map[string]int // number of running requests that have a strike, by target
 }
 
@@ -84,6 +88,7 @@
 		config:   c,
 		budget:   limit.NewRetryBudget(),
 		strikes:  quarantine.NewList(),
+		parts:    quarantine.NewPartList(),
 		suspects: map[string]int{},
 	}
 }
@@ -146,10 +151,13 @@
 	share := d.config.Preset().RetryShare
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	until, quarantined := d.strikes.Quarantined(d.config.Now(), fingerprint)
-	if quarantined {
+	now := d.config.Now()
+	if until, quarantined := d.strikes.Quarantined(now, fingerprint); quarantined {
 		return 0, quarantineFailure(until)
 	}
+	if until, refused := d.parts.Refused(now, partsOf(r)); refused {
+		return 0, partFailure(until)
+	}
 	d.budget.Deposit(share)
 	return fingerprint, nil
 }
--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -16,6 +16,7 @@
 	fingerprint uint64
 	version     string // of the model or service; fixed by the first token, because a stream never mixes versions
 	next        int    // sequence number of the next token to emit
+	startedAt   int    // next at the start of the attempt
 	emit        func(token string)
 	tried       map[string]bool
 	reroutes    int  // number of times the request was rerouted from a busy target
@@ -82,6 +83,11 @@
 		return false
 	}
 	defer run.dispatcher.config.Pool.Release(target)
+	if failure := run.dispatcher.startAttempt(ctx, request); failure != nil {
+		result.Answer = contract.NotRunAnswer(failure)
+		return false
+	}
+	run.startedAt = run.next
 	defer run.dispatcher.trackSuspect(run.fingerprint, target)()
 	result.Attempts++
 	result.Target = target
@@ -113,11 +119,29 @@
 	}
 }
 
+// answered reports whether the target of this attempt had begun to answer and lived on.
+func (run *repeatableRun) answered() bool { return run.next-run.startedAt >= answeredTokens }
+
+// strike records that the target died while it ran the request, unless it had begun to answer and
+// so did not die of it. It returns a failure if the request is now quarantined.
+func (run *repeatableRun) strike(ctx context.Context, death string) *contract.Failure {
+	if run.answered() {
+		return nil
+	}
+	if failure := run.dispatcher.strike(ctx, run.fingerprint, death); failure != nil {
+		return failure
+	}
+	return run.dispatcher.recordPartDeath(ctx, run.request, death)
+}
+
 // handleAnswer reports whether the request may be sent to another target after an answer.
 // If the answer says that the engine was lost, the target is suspended. If in that case the
 // request may have run, it also gets a strike, the record that a target died while it ran the
 // request.
 func (run *repeatableRun) handleAnswer(ctx context.Context, target, incarnation string, a contract.Answer, result *Result) bool {
+	if a.Outcome == contract.OutcomeDone || run.answered() {
+		run.dispatcher.recordAnswered(ctx, run.request)
+	}
 	if a.Outcome == contract.OutcomeDone {
 		return false
 	}
@@ -131,7 +155,7 @@
 	// Strikes are told apart by the incarnation, which identifies the process of the
 	// target daemon. Here only its engine died, so two such deaths would have the same
 	// incarnation. The random name added to it makes the strike distinct.
-	if failure := run.dispatcher.strike(ctx, run.fingerprint, incarnation+"/"+newAttempt()); failure != nil {
+	if failure := run.strike(ctx, incarnation+"/"+newAttempt()); failure != nil {
 		result.Answer = contract.UnknownAnswer(failure)
 		return false
 	}
@@ -159,7 +183,7 @@
 	if run.dispatcher.config.Pool.StillRuns(probe, target, incarnation) {
 		return true
 	}
-	if failure := run.dispatcher.strike(ctx, run.fingerprint, incarnation); failure != nil {
+	if failure := run.strike(ctx, incarnation); failure != nil {
 		result.Answer = contract.UnknownAnswer(failure)
 		return false
 	}
--- a/entryd/httpapi/httpapi_test.go
+++ b/entryd/httpapi/httpapi_test.go
@@ -57,7 +57,8 @@
 		Dispatcher: dispatch.New(dispatch.Config{
 			Pool: targets, Policy: routing.NewRoundRobin(), Routing: routing.PolicyConfig{Uint64N: func(uint64) uint64 { return 0 }}, Signer: signer, ReservationValidity: time.Minute, Now: time.Now,
 			Preset:          func() preset.Preset { return p },
-			BroadcastStrike: func(context.Context, quarantine.Strike) {}, Logger: zerolog.Nop(),
+			BroadcastStrike: func(context.Context, quarantine.Strike) {},
+			ShareParts:      func(context.Context, []quarantine.PartRecord) []quarantine.PartRecord { return nil }, Logger: zerolog.Nop(),
 		}),
 		State:      func() (preset.State, bool) { return state, true },
 		LimitShare: func(string) float64 { return 1 },
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -38,6 +38,9 @@
 // methodStrike is the RPC method that sends a strike to a peer.
 const methodStrike = "strike"
 
+// methodParts is the RPC method that exchanges records of prompt parts with a peer.
+const methodParts = "parts"
+
 // Config holds the dependencies and parameters of a Peers.
 type Config struct {
 	EntryName string // name of this entry daemon
@@ -54,7 +57,13 @@
 	// OnStrike is called with each strike received from a peer. Its end is a time of the
 	// local clock.
 	OnStrike func(s quarantine.Strike)
-	Logger   zerolog.Logger
+	// OnParts is called with what a peer knows of prompt parts, and returns what this entry knows
+	// of the same parts.
+	OnParts func(records []quarantine.PartRecord) []quarantine.PartRecord
+	// SuspectedParts returns the records of all prompt parts suspected of killing targets. They go
+	// to each peer that compares all records, as it does when it starts.
+	SuspectedParts func() []quarantine.PartRecord
+	Logger         zerolog.Logger
 }
 
 // Peers is the gossip state of one entry daemon. It is safe for concurrent use.
@@ -222,8 +231,9 @@
 // exchangeMessage is the request and the answer of an exchange on the wire.
 type exchangeMessage struct {
 	membership.GossipMessage
-	From         string `json:"from"`
-	ConfigOffset int64  `json:"config_offset"`
+	From           string                  `json:"from"`
+	ConfigOffset   int64                   `json:"config_offset"`
+	SuspectedParts []quarantine.PartRecord `json:"suspected_parts,omitempty"`
 }
 
 func (p *Peers) newMessage(e membership.GossipMessage) exchangeMessage {
@@ -248,6 +258,7 @@
 	}
 	p.markAlive(name)
 	p.merge(answer.Records)
+	p.config.OnParts(answer.SuspectedParts)
 	p.catchUp(ctx, conn, answer.ConfigOffset)
 }
 
@@ -328,6 +339,31 @@
 	})
 }
 
+// ExchangeParts sends records of prompt parts to all peers and returns what they know of the same
+// parts. It waits for them up to strikeTimeout, even if ctx has ended, so that the next request
+// finds every reachable entry informed.
+func (p *Peers) ExchangeParts(ctx context.Context, records []quarantine.PartRecord) []quarantine.PartRecord {
+	var mu sync.Mutex
+	var known []quarantine.PartRecord
+	p.callAll(context.WithoutCancel(ctx), strikeTimeout, func(ctx context.Context, name, address string) {
+		conn, err := p.conns.Get(ctx, address)
+		if err != nil {
+			return
+		}
+		var answer []quarantine.PartRecord
+		if err := conn.Call(ctx, methodParts, records, &answer); err != nil {
+			p.config.Logger.Warn().Str("peer", name).Msg("prompt parts not exchanged; the peer may let requests with them run")
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		known = append(known, answer...)
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	return known
+}
+
 // Methods returns the methods that other entries and targets may call on this
 // entry.
 func (p *Peers) Methods() link.Methods {
@@ -335,6 +371,7 @@
 		contract.MethodExchange:      {Run: p.serveExchange},
 		contract.MethodConfiguration: {Run: p.serveConfiguration},
 		methodStrike:                 {Run: p.serveStrike},
+		methodParts:                  {Run: p.serveParts},
 	}
 }
 
@@ -350,6 +387,7 @@
 		p.mu.Lock()
 		answer.Records = p.table.Newer(m.Versions)
 		p.mu.Unlock()
+		answer.SuspectedParts = p.config.SuspectedParts()
 	}
 	go p.catchUp(ctx, peer, m.ConfigOffset)
 	return answer, nil
@@ -372,3 +410,11 @@
 	p.config.OnStrike(quarantine.Strike{Fingerprint: m.Fingerprint, Incarnation: m.Incarnation, Until: until})
 	return nil, nil
 }
+
+func (p *Peers) serveParts(_ context.Context, _ *link.Conn, params json.RawMessage) (any, error) {
+	records, err := link.Decode[[]quarantine.PartRecord](params)
+	if err != nil {
+		return nil, err
+	}
+	return p.config.OnParts(records), nil
+}
--- a/proofs/configuration_test.go
+++ b/proofs/configuration_test.go
@@ -101,7 +101,9 @@
 		Record: func() membership.Record {
 			return membership.Record{Origin: f.name, Role: membership.RoleEntry, Address: f.name, Started: f.started.UnixNano()}
 		},
-		Store: f.store, OnStrike: func(quarantine.Strike) {}, Logger: zerolog.Nop(),
+		Store: f.store, OnStrike: func(quarantine.Strike) {},
+		OnParts:        func([]quarantine.PartRecord) []quarantine.PartRecord { return nil },
+		SuspectedParts: func() []quarantine.PartRecord { return nil }, Logger: zerolog.Nop(),
 	})
 	for _, other := range s.followers {
 		p.AddSeed(other.name, other.name)
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -72,6 +72,8 @@
 	// shareStrikes says whether entries send each other their strikes, the records
 	// that a target died while it ran a request.
 	shareStrikes bool
+	// shareParts says whether entries tell each other what they know of prompt parts.
+	shareParts bool
 
 	mu           sync.Mutex
 	incarnations int // number of target processes started so far, guarded by mu
@@ -97,6 +99,7 @@
 		signer:       reservation.Signer{Keys: [][]byte{[]byte("a key of the proofs")}},
 		preset:       preset.Initial(),
 		shareStrikes: true,
+		shareParts:   true,
 	}
 	f.preset.RetryShare = 1 // the maximum: one retry for each first attempt
 	f.executor = newFakeExecutor(f.random)
@@ -257,6 +260,7 @@
 		Preset:          func() preset.Preset { return f.preset },
 		Claimer:         e.claimer,
 		BroadcastStrike: f.broadcastStrike,
+		ShareParts:      f.exchangeParts,
 		Logger:          zerolog.Nop(),
 	})
 }
@@ -292,6 +296,21 @@
 	}
 }
 
+// exchangeParts gives records of prompt parts to all entries and returns what they know of the same
+// parts.
+func (f *fleet) exchangeParts(_ context.Context, records []quarantine.PartRecord) []quarantine.PartRecord {
+	if !f.shareParts {
+		return nil
+	}
+	time.Sleep(time.Millisecond)
+	var known []quarantine.PartRecord
+	for _, e := range f.entries {
+		d, _ := e.current()
+		known = append(known, d.MergeParts(records)...)
+	}
+	return known
+}
+
 // call sends a request through the entry with run, whose context ends at the
 // request's deadline or when the process is killed. It returns false if the entry's process
 // was killed before it answered.
--- a/proofs/poison_test.go
+++ b/proofs/poison_test.go
@@ -88,3 +88,69 @@
 	is.New(t).True(counts.count("more than two") > 0)
 	t.Logf("schedules in which the request killed more than two targets: %v of 20", counts)
 }
+
+// runDeadlyPrefix sends drafts with prompts of their own through all entries. Those of every third
+// caller begin with a prefix that kills each target that begins to answer it. It returns how many
+// targets were killed, and how many of the sound drafts, and how many were done.
+func runDeadlyPrefix(seed uint64, shareParts bool) (crashes, sound, done int) {
+	f := newFleet(fleetConfig{seed: seed, entries: 3, targets: 6, kind: contract.WorkDraft, capacity: 4})
+	f.shareParts = shareParts
+	f.executor.onCrash = func(t *target) {
+		t.kill()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			t.start()
+		}()
+	}
+	const drafts = 30
+	const soundPrefix, deadlyPrefix = 1, 2
+	for i := range drafts {
+		body, prefix := fmt.Sprintf("brief %d", i), uint64(soundPrefix)
+		if i%3 == 2 {
+			body, prefix = fmt.Sprintf("%s %d", crashMarker, i), deadlyPrefix
+		}
+		r := dispatch.Request{
+			Organisation: "muscat", Kind: contract.WorkDraft, ServiceName: serviceName, Body: []byte(body), Prefix: prefix,
+			Deadline: time.Now().Add(8 * time.Second),
+		}
+		result, _ := f.entries[(i/3+i)%len(f.entries)].call(r, func(d *dispatch.Dispatcher, ctx context.Context, r dispatch.Request) dispatch.Result {
+			return d.RunRepeatable(ctx, r, func(string) {})
+		})
+		if prefix == soundPrefix {
+			sound++
+			if result.Outcome == contract.OutcomeDone {
+				done++
+			}
+		}
+		time.Sleep(f.random.upTo(200 * time.Millisecond))
+	}
+	time.Sleep(time.Second)
+	f.stop()
+	synctest.Wait()
+	return f.executor.crashes, sound, done
+}
+
+// TestDeadlyPrefixKillsAtMostTwoTargets guards against drafts that share nothing but the beginning
+// of their prompts, which kills each target that begins to answer it.
+func TestDeadlyPrefixKillsAtMostTwoTargets(t *testing.T) {
+	counts := newTally()
+	forSeeds(t, schedules(), func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		crashes, sound, done := runDeadlyPrefix(seed, true)
+		is.True(crashes <= 2)
+		is.Equal(done, sound) // those of the same caller are all served
+		counts.add("targets killed", crashes)
+	})
+	t.Logf("%v in %d schedules", counts, schedules())
+}
+
+// TestUnsharedPartsKillMoreTargets checks that the schedules can detect a third killed target.
+func TestUnsharedPartsKillMoreTargets(t *testing.T) {
+	counts := newTally()
+	forSeeds(t, 20, func(_ *testing.T, seed uint64) {
+		if crashes, _, _ := runDeadlyPrefix(seed, false); crashes > 2 {
+			counts.add("more than two", 1)
+		}
+	})
+	is.New(t).True(counts.count("more than two") > 0)
+}
