Tell an entry that restarts quickly which prompt parts are suspected

Cause: entries give their suspects to a host that is found again after it was lost. A host counts as lost after 1.8 s of silence, and a restart takes less. The lines show two suspects 'alone' at entries that had just started.

Change: the mesh calls back for each host that introduces itself, as every daemon does when it starts, and about eight entries answer with their suspects.

TestRestartedEntryRefusesDeadlyPart fails before (502, a second target died).

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -58,6 +59,8 @@
 	// strikeDuration is the remaining time that is sent to the peers with a new strike. Each
 	// peer computes the strike's expiry from it.
 	strikeDuration = 10 * time.Minute
+	// suspectsFanout is the number of entries that tell a starting one about suspected prompt parts.
+	suspectsFanout = 8
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = 120 * time.Millisecond
 	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
@@ -133,8 +136,12 @@
 	var err error
 	s.mesh, err = mesh.Listen(mesh.Config{
 		Self: c.Self, PeerTimeout: heartbeatTimeout, Now: time.Now, Handle: s.handleMessage, Log: daemon.PartLogger(c.Log, "mesh"),
-		OnLost:  func(h mesh.Host) { c.Log.Warn().Str("host", h.Name).Str("role", string(h.Role)).Msg("host lost") },
-		OnAlive: s.welcomeHost,
+		OnLost: func(h mesh.Host) { c.Log.Warn().Str("host", h.Name).Str("role", string(h.Role)).Msg("host lost") },
+		OnAlive: func(h mesh.Host) {
+			c.Log.Info().Str("host", h.Name).Str("role", string(h.Role)).Msg("host found")
+			s.sendSuspects(h)
+		},
+		OnIntroduced: s.sendSuspects,
 	})
 	if err != nil {
 		return err
@@ -241,12 +248,14 @@
 	}
 }
 
-// welcomeHost tells an entry that has started, or that was cut off, which prompt parts are
-// suspected of killing targets.
-func (s *Server) welcomeHost(h mesh.Host) {
-	s.config.Log.Info().Str("host", h.Name).Str("role", string(h.Role)).Msg("host found")
-	if suspects := s.relay.SuspectedParts(); h.Role == mesh.RoleEntry && len(suspects) > 0 {
-		s.mesh.Send(h.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: suspects}})
+// sendSuspects tells an entry that has started, or that was cut off, which prompt parts are
+// suspected of killing targets. About suspectsFanout entries do so.
+func (s *Server) sendSuspects(to mesh.Host) {
+	if to.Role != mesh.RoleEntry || rand.IntN(len(s.mesh.Known(mesh.RoleEntry))+1) >= suspectsFanout {
+		return
+	}
+	if suspects := s.relay.SuspectedParts(); len(suspects) > 0 {
+		s.mesh.Send(to.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: suspects}})
 	}
 }
 
--- a/entryd/frontend/parts_test.go
+++ b/entryd/frontend/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,8 +19,39 @@
 	"camphormill.dev/parts/registry"
 )
 
+// dyingTargets returns targets that die of the first request that they get.
+func dyingTargets(t *testing.T, n int, deaths *atomic.Int64) []registry.Target {
+	t.Helper()
+	dying := func(w http.ResponseWriter, r *http.Request) {
+		deaths.Add(1)
+		if server, ok := r.Context().Value(http.ServerContextKey).(*http.Server); ok {
+			go func() { _ = server.Close() }()
+		}
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			time.Sleep(30 * time.Millisecond) // so that the listener closes before the connection
+			_ = conn.Close()
+		}
+	}
+	var targets []registry.Target
+	for i := range n {
+		server := httptest.NewServer(http.HandlerFunc(dying))
+		t.Cleanup(server.Close)
+		targets = append(targets, registry.Target{ID: fmt.Sprint("t", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), State: registry.Ready})
+	}
+	return targets
+}
+
 // startPeer starts an entry of a fleet of the given hosts, whose requests all have one prompt part.
 func startPeer(t *testing.T, name string, hosts *[]mesh.Host, targets []registry.Target) frontend.Config {
+	t.Helper()
+	c := newPeerConfig(t, name, hosts, targets)
+	t.Cleanup(startEntry(t, c))
+	return c
+}
+
+// newPeerConfig returns the configuration of an entry of a fleet of the given hosts, and adds it to
+// them.
+func newPeerConfig(t *testing.T, name string, hosts *[]mesh.Host, targets []registry.Target) frontend.Config {
 	t.Helper()
 	c := newConfig(t, 0)
 	c.Self.Name = name
@@ -27,15 +59,20 @@
 	c.Hosts.Hosts = func(context.Context) ([]mesh.Host, error) { return *hosts, nil }
 	c.Store.ListTargets = func(context.Context) ([]registry.Target, int64, error) { return targets, 1, nil }
 	c.Protocol.Read = func(*http.Request) relay.RequestInfo { return relay.RequestInfo{SharedParts: []uint64{1}} }
+	return c
+}
+
+// startEntry starts an entry, waits until it is ready, and returns a function that stops it.
+func startEntry(t *testing.T, c frontend.Config) (stop func()) {
+	t.Helper()
 	k := kernel.New()
 	frontend.RegisterServices(k, c)
 	is.New(t).NoErr(k.Start(context.Background()))
-	t.Cleanup(func() { _ = k.Stop(context.Background()) })
 	for addresses, i := "", 0; addresses == "" && i < 300; i++ {
 		time.Sleep(10 * time.Millisecond)
 		addresses, _ = get(c.DirectoryAddress, "")
 	}
-	return c
+	return func() { _ = k.Stop(context.Background()) }
 }
 
 // status returns the status of a request to an entry, or 0 if it was not answered.
@@ -58,22 +95,7 @@
 func TestLateEntryRefusesDeadlyPart(t *testing.T) {
 	is := is.New(t)
 	var deaths atomic.Int64
-	dying := func(w http.ResponseWriter, r *http.Request) {
-		deaths.Add(1)
-		if server, ok := r.Context().Value(http.ServerContextKey).(*http.Server); ok {
-			go func() { _ = server.Close() }()
-		}
-		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
-			time.Sleep(30 * time.Millisecond) // so that the listener closes before the connection
-			_ = conn.Close()
-		}
-	}
-	var targets []registry.Target
-	for _, id := range []string{"t0", "t1"} {
-		server := httptest.NewServer(http.HandlerFunc(dying))
-		t.Cleanup(server.Close)
-		targets = append(targets, registry.Target{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), State: registry.Ready})
-	}
+	targets := dyingTargets(t, 2, &deaths)
 	var hosts []mesh.Host
 	first := startPeer(t, "e1", &hosts, targets)
 	is.Equal(status(first.CallersAddress), http.StatusBadGateway) // its target died
@@ -85,3 +107,23 @@
 	}
 	is.Equal(deaths.Load(), int64(1))
 }
+
+// TestRestartedEntryRefusesDeadlyPart guards against an entry that restarts so quickly that its peers
+// don't miss it, and that then lets a prompt part kill another target.
+func TestRestartedEntryRefusesDeadlyPart(t *testing.T) {
+	is := is.New(t)
+	var deaths atomic.Int64
+	targets := dyingTargets(t, 2, &deaths)
+	var hosts []mesh.Host
+	first := startPeer(t, "e1", &hosts, targets)
+	second := newPeerConfig(t, "e2", &hosts, targets)
+	stop := startEntry(t, second)
+	is.Equal(status(first.CallersAddress), http.StatusBadGateway) // its target died
+	stop()
+	t.Cleanup(startEntry(t, second))
+	time.Sleep(300 * time.Millisecond) // it has introduced itself
+	for range 4 {
+		is.Equal(status(second.CallersAddress), http.StatusServiceUnavailable)
+	}
+	is.Equal(deaths.Load(), int64(1))
+}
--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -42,6 +42,10 @@
 	// before Handle gets that message. Either may be nil.
 	OnLost  func(h Host)
 	OnAlive func(h Host)
+	// OnIntroduced is called by Run, without the lock, for a host that introduces itself, as each
+	// does when it starts. A host that restarts quickly is never lost, so OnAlive misses it. It may
+	// be nil.
+	OnIntroduced func(h Host)
 }
 
 // Mesh exchanges messages with the other daemons and keeps a record of each. It is
@@ -132,6 +136,9 @@
 	if returned && m.config.OnAlive != nil {
 		m.config.OnAlive(host)
 	}
+	if message.Host != nil && m.config.OnIntroduced != nil {
+		m.config.OnIntroduced(host)
+	}
 	return host, true
 }
 
