A deadly part explains the death of a target for all its requests

Cause: only the parts of one request could explain a death for each other. Requests of other entries at the same rank were not related to it.

Change: deaths are related by the target's incarnation. A part that more targets died of explains the death of each for all other parts there. The records get smaller, as they name no other parts. When the list drops old states, it keeps those with the latest deaths.

TestDeathIsExplainedByAnotherRequest fails before.

--- a/parts/quarantine/part_records.go
+++ b/parts/quarantine/part_records.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // maxSharedRecords bounds the records in one message to a peer.
 const maxSharedRecords = 32
@@ -20,9 +17,8 @@
 
 // PartDeathRecord is a PartDeath with its age.
 type PartDeathRecord struct {
-	Incarnation string   `json:"incarnation"`
-	AgeMS       int64    `json:"age_ms"`
-	Others      []PartID `json:"others,omitempty"`
+	Incarnation string `json:"incarnation"`
+	AgeMS       int64  `json:"age_ms"`
 }
 
 // Records returns what is known of the parts, for a peer. It leaves out parts of which nothing is
@@ -39,24 +35,16 @@
 			r.AnsweredAgeMS = now.Sub(s.answeredAt).Milliseconds()
 		}
 		for _, d := range s.deaths {
-			r.Deaths = append(r.Deaths, PartDeathRecord{Incarnation: d.Incarnation, AgeMS: now.Sub(d.At).Milliseconds(), Others: d.Others})
+			r.Deaths = append(r.Deaths, PartDeathRecord{Incarnation: d.Incarnation, AgeMS: now.Sub(d.At).Milliseconds()})
 		}
 		records = append(records, r)
 	}
 	return records
 }
 
-// SuspectRecords returns the records of the suspected parts and of the parts that may explain
-// their deaths, for a peer that may know none of them.
+// SuspectRecords returns the records of the suspected parts, for a peer that may know none of them.
 func (l *PartList) SuspectRecords(now time.Time) []PartRecord {
-	parts := l.allSuspects(now)
-	for _, id := range slices.Clone(parts) {
-		for _, d := range l.state(id).deaths {
-			parts = append(parts, d.Others...)
-		}
-	}
-	slices.Sort(parts)
-	return l.Records(now, slices.Compact(parts))
+	return l.Records(now, l.allSuspects(now))
 }
 
 // Merge adds what a peer knows.
@@ -65,7 +53,7 @@
 	for _, r := range records {
 		s := l.edit(r.Part)
 		for _, d := range r.Deaths {
-			s.addDeath(PartDeath{Incarnation: d.Incarnation, At: age(d.AgeMS), Others: d.Others})
+			l.addDeath(r.Part, PartDeath{Incarnation: d.Incarnation, At: age(d.AgeMS)})
 		}
 		if until := now.Add(time.Duration(r.TrialForMS) * time.Millisecond); r.TrialForMS > 0 && until.After(s.trialUntil) {
 			s.trialUntil = until
--- a/parts/quarantine/parts.go
+++ b/parts/quarantine/parts.go
@@ -25,8 +25,6 @@
 	sameCause = 2 * time.Second
 	// maxPartDeaths bounds the deaths that are kept for a part. The oldest are dropped.
 	maxPartDeaths = 4
-	// maxOthers bounds the other parts that are kept with a death.
-	maxOthers = 8
 	// maxPartsPerGeneration bounds the parts in each of a PartList's two generations.
 	maxPartsPerGeneration = 8192
 	// maxKeptSuspects bounds the parts with deaths that a new generation begins with.
@@ -48,7 +46,6 @@
 type PartDeath struct {
 	Incarnation string
 	At          time.Time
-	Others      []PartID // the other parts of the request, which may have been the cause instead
 }
 
 // partState is what is known of one part.
@@ -62,7 +59,8 @@
 // answer them, whatever else the request holds. After a death, each part of the request is a
 // suspect, except that an answer clears a part. A suspect is refused for firstHold; then one
 // request tries it. A part that has been answered recently becomes a suspect only with the second
-// death since, and a part whose deaths another part of the same requests explains is none.
+// death since. A death counts for none but the part that has more deaths than the others that were
+// in requests to the same target.
 //
 // The state of a part is merged from all entries: the newest answer and the union of the deaths
 // since. The order of the records doesn't matter. A PartList is not safe for concurrent use.
@@ -70,11 +68,14 @@
 	// The states are kept in two generations. When current is full, it replaces previous; see
 	// startGeneration.
 	current, previous map[PartID]*partState
+	// partsByDeath holds the parts with a death of each incarnation, and may hold parts that were
+	// cleared since.
+	partsByDeath map[string][]PartID
 }
 
 // NewPartList returns a list without suspects.
 func NewPartList() *PartList {
-	return &PartList{current: map[PartID]*partState{}, previous: map[PartID]*partState{}}
+	return &PartList{current: map[PartID]*partState{}, previous: map[PartID]*partState{}, partsByDeath: map[string][]PartID{}}
 }
 
 // state returns the state of a part, or nil if nothing is known of it.
@@ -101,13 +102,27 @@
 	return s
 }
 
-// startGeneration drops the states of previous, except that those with deaths stay: a refused part
-// is not used until it is tried.
+// startGeneration drops the states of previous, except that those with the latest deaths stay: a
+// refused part is not used until it is tried.
 func (l *PartList) startGeneration() {
-	next := map[PartID]*partState{}
+	var withDeaths []PartID
 	for id, s := range l.previous {
-		if len(s.deaths) > 0 && len(next) < maxKeptSuspects {
-			next[id] = s
+		if len(s.deaths) > 0 {
+			withDeaths = append(withDeaths, id)
+		}
+	}
+	slices.SortFunc(withDeaths, func(a, b PartID) int { return l.previous[b].lastDeath().Compare(l.previous[a].lastDeath()) })
+	next := map[PartID]*partState{}
+	for _, id := range withDeaths[:min(len(withDeaths), maxKeptSuspects)] {
+		next[id] = l.previous[id]
+	}
+	for incarnation, parts := range l.partsByDeath {
+		known := slices.DeleteFunc(parts, func(id PartID) bool {
+			s := l.state(id)
+			return s == nil || !s.hasDeath(incarnation)
+		})
+		if l.partsByDeath[incarnation] = known; len(known) == 0 {
+			delete(l.partsByDeath, incarnation)
 		}
 	}
 	l.current, l.previous = next, l.current
@@ -148,16 +163,15 @@
 		charged = parts
 	}
 	for _, id := range charged {
-		others := slices.DeleteFunc(slices.Clone(charged), func(other PartID) bool { return other == id })
-		l.edit(id).addDeath(PartDeath{Incarnation: incarnation, At: now, Others: others})
+		l.addDeath(id, PartDeath{Incarnation: incarnation, At: now})
 	}
 	return l.Suspects(now, charged)
 }
 
-// addDeath records a death unless it is known or refuted by a later answer.
-func (s *partState) addDeath(d PartDeath) {
-	d.Others = d.Others[:min(len(d.Others), maxOthers)]
-	if !d.At.After(s.answeredAt) || slices.ContainsFunc(s.deaths, func(known PartDeath) bool { return known.Incarnation == d.Incarnation }) {
+// addDeath records a death of a part unless it is known or refuted by a later answer.
+func (l *PartList) addDeath(id PartID, d PartDeath) {
+	s := l.edit(id)
+	if !d.At.After(s.answeredAt) || s.hasDeath(d.Incarnation) {
 		return
 	}
 	s.deaths = append(s.deaths, d)
@@ -165,6 +179,16 @@
 	if len(s.deaths) > maxPartDeaths {
 		s.deaths = slices.Delete(s.deaths, 0, len(s.deaths)-maxPartDeaths)
 	}
+	if parts, known := l.partsByDeath[d.Incarnation]; known || len(l.partsByDeath) < maxKeptSuspects {
+		l.partsByDeath[d.Incarnation] = append(parts, id)
+	}
+}
+
+// lastDeath returns the time of the latest death. There must be one.
+func (s *partState) lastDeath() time.Time { return s.deaths[len(s.deaths)-1].At }
+
+func (s *partState) hasDeath(incarnation string) bool {
+	return slices.ContainsFunc(s.deaths, func(d PartDeath) bool { return d.Incarnation == incarnation })
 }
 
 // deathCount returns the number of targets that died of a part since it was last answered.
@@ -180,17 +204,15 @@
 	return count
 }
 
-// unexplained returns the deaths that no other part explains better: one that has more deaths.
+// unexplained returns the deaths that no other part explains.
 func (l *PartList) unexplained(now time.Time, id PartID, s *partState) []PartDeath {
 	own := l.deathCount(now, id)
-	var left []PartDeath
-	for _, d := range s.deaths {
-		explained := slices.ContainsFunc(d.Others, func(other PartID) bool { return l.deathCount(now, other) > own })
-		if now.Sub(d.At) < strikeTTL && !explained {
-			left = append(left, d)
-		}
-	}
-	return left
+	return slices.DeleteFunc(slices.Clone(s.deaths), func(d PartDeath) bool {
+		return now.Sub(d.At) >= strikeTTL || slices.ContainsFunc(l.partsByDeath[d.Incarnation], func(other PartID) bool {
+			o := l.state(other)
+			return o != nil && o.hasDeath(d.Incarnation) && l.deathCount(now, other) > own
+		})
+	})
 }
 
 // hold returns how long the part is refused after its last death, and when that was. The hold is 0
@@ -267,7 +289,7 @@
 	for _, generation := range []map[PartID]*partState{l.previous, l.current} {
 		for id, s := range generation {
 			if len(s.deaths) > 0 && l.suspected(now, id) {
-				lastDeath[id] = s.deaths[len(s.deaths)-1].At
+				lastDeath[id] = s.lastDeath()
 			}
 		}
 	}
--- a/parts/quarantine/parts_test.go
+++ b/parts/quarantine/parts_test.go
@@ -74,6 +74,22 @@
 	is.True(refused(l, now.Add(time.Second), deadly))
 }
 
+// TestDeathIsExplainedByAnotherRequest guards against refusing the parts of sound requests that waited
+// at the same target as a deadly one.
+func TestDeathIsExplainedByAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	l.AddDeath(now, "t1", []quarantine.PartID{sound})
+	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
+	is.True(refused(l, now, sound)) // nothing tells which of the two it was
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{other})
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{deadly})
+	is.True(!refused(l, now.Add(time.Second), sound))
+	is.True(!refused(l, now.Add(time.Second), other))
+	is.True(refused(l, now.Add(time.Second), deadly))
+}
+
 // TestTargetsThatDieTogetherCountOnce guards against quarantining a part for long because several
 // hosts that ran requests with it failed at the same moment.
 func TestTargetsThatDieTogetherCountOnce(t *testing.T) {
