Log the rate limits that targets name, and when requests are sent

The lines told neither what a target names nor who learns it when, nor when a request was sent. A gauge counts the limited targets. No decision changes.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -152,6 +152,7 @@
 		return age.Seconds()
 	})
 	s.metrics.set.NewGauge(`camphormill_prompt_parts_suspected`, func() float64 { return float64(len(s.relay.SuspectedParts())) })
+	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.relay.LimitedTargets()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -76,6 +77,10 @@
 			SetHeaders:   func(http.Header, relay.RequestInfo, relay.TargetHeaders) {},
 			Classify:     func(*http.Response) relay.ResponseClass { return relay.Ran },
 			ReportedLoad: func(*http.Response) (relay.Load, bool) { return relay.Load{}, false },
+			ReportedLimit: func(r *http.Response) (float64, bool) {
+				limit, err := strconv.ParseFloat(r.Header.Get("Limit"), 64)
+				return limit, err == nil
+			},
 			FailedTarget: func(*http.Response) string { return "" },
 		},
 	}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -55,6 +55,7 @@
 	if !c.route.MayRepeat() {
 		maxIdle = nonRepeatableMaxIdle
 	}
+	c.sentAt = rl.config.Now()
 	out := rl.targetRequest(c, t)
 	response, err := rl.config.Client.Do(ctx, httpclient.Request{Address: t.Address, HTTP: out, MaxIdle: maxIdle, Deadline: c.deadline})
 	if err != nil {
@@ -65,6 +66,7 @@
 	if load, ok := rl.config.Protocol.ReportedLoad(response.Response); ok {
 		rl.loads.recordReport(rl.config.Now(), t.ID, load)
 	}
+	rl.recordLimit(c, t, response.Response)
 	class := rl.config.Protocol.Classify(response.Response)
 	if class != Ran {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody))
--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -58,6 +58,9 @@
 	Classify func(r *http.Response) ResponseClass
 	// ReportedLoad returns the load reported with a response; false if there is none.
 	ReportedLoad func(r *http.Response) (Load, bool)
+	// ReportedLimit returns the requests per second that a target takes from all entries together,
+	// as it says in a response; false if it names no limit.
+	ReportedLimit func(r *http.Response) (perSecond float64, ok bool)
 	// FailedTarget returns the address of the target whose failure closed a group, or an empty
 	// string.
 	FailedTarget func(r *http.Response) string
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -128,6 +128,9 @@
 // PruneTargets drops the load state of targets that are no longer registered.
 func (rl *Relay) PruneTargets(r registry.Registry) { rl.loads.prune(r) }
 
+// LimitedTargets returns the number of targets that name a rate limit.
+func (rl *Relay) LimitedTargets() int { return rl.loads.limited() }
+
 // call is the state of one request.
 type call struct {
 	info          RequestInfo
@@ -146,12 +149,13 @@
 	writer        http.ResponseWriter
 	headSent      bool // the response header has been sent
 	firstByteAt   time.Time
-	lastEventID   string   // ID of the last event sent to the caller
-	events        int      // number of events sent to the caller
-	attemptEvents int      // those of the latest attempt
-	attempts      int      // as in Outcome
-	mayHaveRun    bool     // a target may have run the request
-	failedTargets []string // IDs of targets that should not be selected again
+	lastEventID   string    // ID of the last event sent to the caller
+	events        int       // number of events sent to the caller
+	attemptEvents int       // those of the latest attempt
+	sentAt        time.Time // when the latest attempt was sent; zero if there was none
+	attempts      int       // as in Outcome
+	mayHaveRun    bool      // a target may have run the request
+	failedTargets []string  // IDs of targets that should not be selected again
 	outcome       Outcome
 	targetID      string // ID of the target of the latest attempt
 }
@@ -447,11 +451,15 @@
 	if c.outcome.Reason != "" || broken {
 		event = rl.config.Log.Warn()
 	}
+	sentAfter := time.Duration(0)
+	if !c.sentAt.IsZero() {
+		sentAfter = c.sentAt.Sub(c.startedAt)
+	}
 	age, _ := rl.config.View.ProofAge()
 	event.Str("request", c.info.AttemptID).Str("organisation", c.outcome.Organisation).Str("route", c.outcome.Route).
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
 		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).
-		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).
+		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).Dur("sent", sentAfter).
 		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
 }
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -56,6 +56,10 @@
 			return relay.Ran
 		},
 		ReportedLoad: func(*http.Response) (relay.Load, bool) { return relay.Load{}, false },
+		ReportedLimit: func(r *http.Response) (float64, bool) {
+			limit, err := strconv.ParseFloat(r.Header.Get("Limit"), 64)
+			return limit, err == nil
+		},
 		FailedTarget: func(*http.Response) string { return "" },
 	}
 }
