Keep the rate limits that targets name, all entries together

Callers saw nothing; a target in need got 2.1 to 2.6 times the limit that it named.

Cause: nobody who decides where a request goes knew of the limit. Nothing read it, so the leader went on assigning the engine as many requests as the others, and entries that choose by themselves likewise. An entry can only learn it from an answer of its own, which took up to 14 s. Class: what a target tells one entry concerns all of them and whoever decides for them.

Ruled out: entries that keep the limit each by itself; a leader that alone doesn't know it.

Change: the entry that sees a limit, or its end, tells all others, and entries name the limits that they know in their slot requests. The leader keeps the limit for the ranks of its group. For other targets one entry counts, the one with the highest hash of its name and the target's ID; the others ask it. An entry that gets no answer keeps to an equal share. Requests that don't fit go to other targets; if all are at their limits they are refused at once with the time at which one is free.

Why it works: each request to a limited target passes one bucket of the named rate.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -59,8 +59,8 @@
 	// strikeDuration is the remaining time that is sent to the peers with a new strike. Each
 	// peer computes the strike's expiry from it.
 	strikeDuration = 10 * time.Minute
-	// suspectsFanout is the number of entries that tell a starting one about suspected prompt parts.
-	suspectsFanout = 8
+	// knowledgeFanout is the number of entries that tell a starting one what they know.
+	knowledgeFanout = 8
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = 120 * time.Millisecond
 	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
@@ -101,6 +101,7 @@
 	mesh          *mesh.Mesh
 	view          *storeview.View
 	slots         *relay.SlotClient
+	limits        *relay.Limits
 	relay         *relay.Relay
 	client        *httpclient.Client
 	metrics       *observer
@@ -139,9 +140,9 @@
 		OnLost: func(h mesh.Host) { c.Log.Warn().Str("host", h.Name).Str("role", string(h.Role)).Msg("host lost") },
 		OnAlive: func(h mesh.Host) {
 			c.Log.Info().Str("host", h.Name).Str("role", string(h.Role)).Msg("host found")
-			s.sendSuspects(h)
+			s.sendKnowledge(h)
 		},
-		OnIntroduced: s.sendSuspects,
+		OnIntroduced: s.sendKnowledge,
 	})
 	if err != nil {
 		return err
@@ -152,20 +153,21 @@
 		return age.Seconds()
 	})
 	s.metrics.set.NewGauge(`camphormill_prompt_parts_suspected`, func() float64 { return float64(len(s.relay.SuspectedParts())) })
-	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.relay.LimitedTargets()) })
+	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
 		OnTargetsChanged: func(r registry.Registry) { s.relay.PruneTargets(r) },
 	})
 	s.slots = relay.NewSlotClient(relay.SlotClientConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "places")})
+	s.limits = relay.NewLimits(relay.LimitsConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits")})
 	s.client = httpclient.New(httpclient.Config{
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
 		IsResponseTo: c.IsResponseTo, Now: time.Now,
 	})
 	reserve := retryReserveShare * c.RetryReserve / float64(max(c.EntryCount, 1))
 	s.relay = relay.New(relay.Config{
-		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Client: s.client, Now: time.Now,
+		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
 		MaxProofAge: time.Duration(revocationBoundShare * float64(c.RevocationBound)), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
@@ -182,6 +184,8 @@
 		strike := m.Strike.Strike
 		strike.Until = time.Now().Add(time.Duration(m.Strike.RemainingSeconds) * time.Second)
 		s.relay.MergeStrike(strike)
+	case m.LimitRequest != nil, m.LimitResponse != nil, m.TargetLimits != nil:
+		s.limits.Handle(from, m)
 	case m.PartRecords != nil:
 		s.mergePartRecords(from, *m.PartRecords)
 	case m.RequestEngineSettings != "":
@@ -249,15 +253,19 @@
 	}
 }
 
-// sendSuspects tells an entry that has started, or that was cut off, which prompt parts are
-// suspected of killing targets. About suspectsFanout entries do so.
-func (s *Server) sendSuspects(to mesh.Host) {
-	if to.Role != mesh.RoleEntry || rand.IntN(len(s.mesh.Known(mesh.RoleEntry))+1) >= suspectsFanout {
+// sendKnowledge tells an entry that has started, or that was cut off, which prompt parts are
+// suspected of killing targets, and which rate limits targets name. About knowledgeFanout entries
+// do so.
+func (s *Server) sendKnowledge(to mesh.Host) {
+	if to.Role != mesh.RoleEntry || rand.IntN(len(s.mesh.Known(mesh.RoleEntry))+1) >= knowledgeFanout {
 		return
 	}
 	if suspects := s.relay.SuspectedParts(); len(suspects) > 0 {
 		s.mesh.Send(to.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: suspects}})
 	}
+	if limits := s.limits.Named(); len(limits) > 0 {
+		s.mesh.Send(to.Name, mesh.Message{TargetLimits: limits})
+	}
 }
 
 // runHeartbeats sends heartbeats to the other entries until the context ends. At the same
--- a/entryd/relay/loads.go
+++ b/entryd/relay/loads.go
@@ -42,7 +42,6 @@
 	connectFailures int // failed connections since the last success
 	ejectedUntil    time.Time
 	errorRate       float64 // moving average of failed responses, 0 to 1
-	limit           float64 // requests per second that the target takes from all entries; 0 for no limit
 }
 
 func newLoadTracker() *loadTracker { return &loadTracker{targets: map[string]*targetLoad{}} }
@@ -75,25 +74,6 @@
 	l.update(id, func(t *targetLoad) { t.reported, t.reportedAt, t.sentSinceReport = load, now, 0 })
 }
 
-// setLimit sets the rate limit of a target, 0 for none, and returns the previous one.
-func (l *loadTracker) setLimit(id string, perSecond float64) (previous float64) {
-	l.update(id, func(t *targetLoad) { previous, t.limit = t.limit, perSecond })
-	return previous
-}
-
-// limited returns the number of targets with a rate limit.
-func (l *loadTracker) limited() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := 0
-	for _, t := range l.targets {
-		if t.limit > 0 {
-			count++
-		}
-	}
-	return count
-}
-
 func (l *loadTracker) recordSuccess(id string) {
 	l.update(id, func(t *targetLoad) { t.connectFailures = 0; t.errorRate *= 1 - errorRateWeight })
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -47,6 +47,7 @@
 	Protocol Protocol
 	View     *storeview.View
 	Slots    *SlotClient
+	Limits   *Limits
 	Client   *httpclient.Client
 	Now      func() time.Time
 	// MaxProofAge bounds the age of the routes' freshness proof, that is, the time since
@@ -108,6 +109,7 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.draining = true
+	rl.config.Limits.StartDrain()
 }
 
 // RefuseStreams refuses requests for group services, whose responses last seconds, so that
@@ -125,11 +127,11 @@
 	rl.strikes.Merge(rl.config.Now(), s)
 }
 
-// PruneTargets drops the load state of targets that are no longer registered.
-func (rl *Relay) PruneTargets(r registry.Registry) { rl.loads.prune(r) }
-
-// LimitedTargets returns the number of targets that name a rate limit.
-func (rl *Relay) LimitedTargets() int { return rl.loads.limited() }
+// PruneTargets drops the load state and the rate limits of targets that are no longer registered.
+func (rl *Relay) PruneTargets(r registry.Registry) {
+	rl.loads.prune(r)
+	rl.config.Limits.prune(r)
+}
 
 // call is the state of one request.
 type call struct {
@@ -407,11 +409,8 @@
 			grant.release()
 		}
 	}
-	t, ok := rl.loads.pick(rl.config.Now(), targets.Serving(c.service.Name), c.failedTargets, rl.config.Slots.slowEngines(c.service.Name), rl.config.Zone)
-	if !ok {
-		return registry.Target{}, noGrant, &refusal{http.StatusServiceUnavailable, "no_target", defaultRetryAfter}
-	}
-	return t, noGrant, nil
+	t, refused := rl.pickWithinLimits(ctx, c, targets.Serving(c.service.Name))
+	return t, noGrant, refused
 }
 
 // readyTargetAt returns the target at an engine's address if it is ready and belongs to
@@ -431,6 +430,7 @@
 		PromptTokens: c.info.PromptTokens, Movable: rl.movable(c),
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
+	request.Limits = rl.config.Limits.ofEngines(targets, c.service.Name)
 	for _, id := range c.failedTargets {
 		if t, ok := targets.Target(id); ok {
 			request.ExcludedEngines = append(request.ExcludedEngines, t.Address)
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -158,6 +158,7 @@
 	e.relay = relay.New(relay.Config{
 		Zone: "z", Protocol: testProtocol(), View: view, Now: time.Now, MaxProofAge: maxProofAge, RetryShare: 0.2, RetryReserve: 5,
 		Slots:    e.slots,
+		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now}),
 		OnStrike: func(quarantine.Strike) {}, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.Nop(),
 	})
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -48,6 +48,10 @@
 	OrderResult           *OrderResult        `json:"ordered,omitempty"`
 	Strike                *Strike             `json:"strike,omitempty"`
 	PartRecords           *PartRecords        `json:"part_records,omitempty"`
+	// TargetLimits tells the other entries which rate limits targets name.
+	TargetLimits  []TargetLimit  `json:"target_limits,omitempty"`
+	LimitRequest  *LimitRequest  `json:"limit_request,omitempty"`
+	LimitResponse *LimitResponse `json:"limit_response,omitempty"`
 }
 
 // EngineSettings holds the published engine parameters of a service.
@@ -99,6 +103,8 @@
 	LatestInMS      int      `json:"latest_in_ms"`      // milliseconds from receipt; a later start is useless
 	ExcludedEngines []string `json:"not,omitempty"`     // engines at which the request has failed
 	Movable         bool     `json:"movable,omitempty"` // the running request may continue at another engine
+	// Limits holds rate limits of the service's engines that the sender knows.
+	Limits []EngineLimit `json:"limits,omitempty"`
 }
 
 // SlotResponse is the response to a SlotRequest. It grants a slot if Engine is set, and refuses
@@ -194,3 +200,32 @@
 	// Query asks the receiver for what it knows of the same parts.
 	Query bool `json:"query,omitempty"`
 }
+
+// EngineLimit is the requests per second that an engine takes from all entries together.
+type EngineLimit struct {
+	Engine    string  `json:"engine"` // address
+	PerSecond float64 `json:"per_second"`
+}
+
+// TargetLimit is the requests per second that a target takes from all entries together, 0 for no
+// limit.
+type TargetLimit struct {
+	Target    string  `json:"target"` // ID
+	PerSecond float64 `json:"per_second"`
+}
+
+// LimitRequest asks the entry that counts a target's requests for one more.
+type LimitRequest struct {
+	ID        string  `json:"id"`
+	Target    string  `json:"target"`     // ID
+	PerSecond float64 `json:"per_second"` // limit that the sender knows
+}
+
+// LimitResponse is the response to the LimitRequest with the same ID.
+type LimitResponse struct {
+	ID      string `json:"id"`
+	Granted bool   `json:"granted,omitempty"`
+	// RetryAfterMS is the time, in milliseconds, after which to ask again for a target that is at
+	// its limit.
+	RetryAfterMS int `json:"retry_after_ms,omitempty"`
+}
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -113,15 +113,18 @@
 	// slots is the maximum number of requests that each engine should run, by address:
 	// Rank.Slots, or 0 if the rank is too slow to run any.
 	slots map[string]int
+	// limits holds the rate limits of engines by address.
+	limits map[string]rankLimit
 }
 
 // New returns a Scheduler without ranks.
 func New() *Scheduler {
-	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: admission.NewQueue(0), refused: map[uint64]time.Time{}}
+	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: admission.NewQueue(0), refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
-func (s *Scheduler) SetRanks(ranks []Rank) {
+func (s *Scheduler) SetRanks(now time.Time, ranks []Rank) {
+	s.dropExpiredLimits(now)
 	s.ranks = make(map[string]Rank, len(ranks))
 	for _, r := range ranks {
 		s.ranks[r.Engine] = r
@@ -134,7 +137,7 @@
 	s.slots = make(map[string]int, len(ranks))
 	capacity := 0
 	for _, r := range ranks {
-		s.slots[r.Engine] = r.Slots
+		s.slots[r.Engine] = s.usableSlots(now, r)
 		if r.Slowdown > slowdownLimit {
 			s.slots[r.Engine] = 0
 		}
@@ -175,6 +178,7 @@
 			if a.engine = s.bestRank(now, a.request.Zone, []string{a.engine}); s.tooSlow(a.engine) {
 				continue // the other rank with the lowest cost is too slow too, or no other rank is left
 			}
+			s.countStart(now, a.engine)
 			a.startedAt = now // the new rank has to prefill the prompt too
 		default:
 			continue
@@ -224,6 +228,9 @@
 	if len(s.ranks) == 0 {
 		return s.refuse(now, r, now)
 	}
+	if wait := s.limitsAllowIn(now); wait > 0 {
+		return s.refuse(now, r, now.Add(wait))
+	}
 	decision, freeAt := s.queue.Offer(now, s.queueRequest(now, r))
 	switch decision {
 	case admission.DecisionRun:
@@ -285,17 +292,18 @@
 	if engine == "" {
 		engine = s.bestRank(now, r.Zone, nil)
 	}
+	s.countStart(now, engine)
 	s.assignments[r.ID] = assignment{request: r, engine: engine, startedAt: now}
 	return Decision{ID: r.ID, Engine: engine}
 }
 
 // bestRank returns the engine of the rank whose part of a pass stays shortest, with a
-// preference for the zone of the entry, or "" if every engine is excluded.
+// preference for the zone of the entry, or "" if every engine is excluded or at its rate limit.
 func (s *Scheduler) bestRank(now time.Time, zone string, exclude []string) string {
 	loads := s.loads(now)
 	best, lowest := "", math.Inf(1)
 	for _, engine := range slices.Sorted(maps.Keys(s.ranks)) {
-		if slices.Contains(exclude, engine) {
+		if slices.Contains(exclude, engine) || s.nextIn(now, engine) > 0 {
 			continue
 		}
 		rank := s.ranks[engine]
@@ -359,7 +367,7 @@
 		}
 	}
 	refused := s.queue.Expired(now)
-	for len(s.ranks) > 0 {
+	for len(s.ranks) > 0 && s.limitsAllowIn(now) == 0 {
 		run, late := s.queue.Next(now)
 		refused = append(refused, late...)
 		if run == nil {
--- a/parts/rankscheduler/rankscheduler_test.go
+++ b/parts/rankscheduler/rankscheduler_test.go
@@ -26,7 +26,7 @@
 	for i := range 12 {
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
 	}
-	s.SetRanks(ranks)
+	s.SetRanks(time.Unix(0, 0), ranks)
 	return s
 }
 
@@ -108,7 +108,7 @@
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
 	}
 	ranks[2].Slowdown = 5
-	s.SetRanks(ranks)
+	s.SetRanks(time.Unix(0, 0), ranks)
 	assigned := map[string]int{}
 	now := time.Unix(0, 0)
 	for i := range 24 {
@@ -133,7 +133,7 @@
 	for i := range 4 {
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
 	}
-	s.SetRanks(ranks)
+	s.SetRanks(time.Unix(0, 0), ranks)
 	now := time.Unix(0, 0)
 	engineOf := map[string]string{}
 	for i := range 24 {
@@ -146,7 +146,7 @@
 	ranks[1].Slowdown = 12
 	moveSends := map[string]int{}
 	for range 5 {
-		s.SetRanks(ranks)
+		s.SetRanks(time.Unix(0, 0), ranks)
 		for _, d := range s.MoveOffSlowRanks(now) {
 			is.True(d.Moved)
 			is.Equal(engineOf[d.ID], "e1")
@@ -183,7 +183,7 @@
 		for i, slowdown := range rankSlowdowns {
 			ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: slowdown})
 		}
-		s.SetRanks(ranks)
+		s.SetRanks(time.Unix(0, 0), ranks)
 		return len(s.SlowEngines())
 	}
 	slowdowns := func(n int, slowdown float64, rest ...float64) []float64 {
@@ -212,7 +212,7 @@
 		ranks = append(ranks, r)
 		zoneOf[r.Engine] = r.Zone
 	}
-	s.SetRanks(ranks)
+	s.SetRanks(time.Unix(0, 0), ranks)
 	now := time.Unix(0, 0)
 	running := map[string]int{}
 	same, all := 0, 0
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -87,6 +87,7 @@
 	open           bool        // the group accepts requests
 	outages        outages
 	slowEngines    []string // engines that are too slow to receive requests
+	limitedEngines []string // engines that name a rate limit
 
 	current        *mapswitch.Switch // nil between two switches
 	layouts        [][][]int         // layouts of the current switch, by set and rank
@@ -173,6 +174,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
+	for _, named := range r.Limits {
+		l.scheduler.SetLimit(now, named.Engine, named.PerSecond)
+	}
 	_, repeated := l.requesterHosts[r.ID]
 	l.requesterHosts[r.ID] = from.Name
 	decision := l.scheduler.Offer(now, rankscheduler.Request{
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -186,7 +186,11 @@
 	if !open {
 		usable = nil
 	}
-	l.scheduler.SetRanks(usable)
+	l.scheduler.SetRanks(now, usable)
+	if limited := l.scheduler.LimitedEngines(); !slices.Equal(limited, l.limitedEngines) {
+		l.log.Info().Strs("limited", limited).Strs("before", l.limitedEngines).Msg("set of ranks with a rate limit changed")
+		l.limitedEngines = limited
+	}
 	if slow := l.scheduler.SlowEngines(); !slices.Equal(slow, l.slowEngines) {
 		l.log.Info().Strs("slow", slow).Strs("before", l.slowEngines).Msg("set of ranks too slow for requests changed")
 		l.slowEngines, l.announcedAt = slow, time.Time{}
