--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -84,6 +84,7 @@
 type connection struct {
 	net.Conn
 	address   string
+	source    *headLimiter // of reader
 	reader    *bufio.Reader
 	expires   time.Time // when it must leave the pool
 	idleSince time.Time // when it was last returned to the pool
@@ -153,7 +154,9 @@
 // informational responses and responses to other requests.
 func (c *Client) readHead(conn *connection, request *http.Request) (*http.Response, error) {
 	for range maxSkipped + 1 {
+		conn.source.allow(maxHeadBytes)
 		response, err := http.ReadResponse(conn.reader, request)
+		conn.source.allowAll()
 		if err != nil {
 			return nil, err
 		}
@@ -174,6 +177,33 @@
 // maxSkippedBytes bounds what is read of the body of a skipped response.
 const maxSkippedBytes = 1 << 20
 
+// maxHeadBytes bounds the head of a response, because a faulty target may send one without end.
+const maxHeadBytes = 64 << 10
+
+// headLimiter bounds what is read from a connection while the head of a response is read.
+type headLimiter struct {
+	source    io.Reader
+	unlimited bool
+	remaining int // bytes that may be read, unless unlimited is set
+}
+
+func (l *headLimiter) allow(bytes int) { l.unlimited, l.remaining = false, bytes }
+
+func (l *headLimiter) allowAll() { l.unlimited = true }
+
+// Read reads from the connection, up to the limit.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.unlimited {
+		return l.source.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errors.Errorf("the head of the response exceeds %d bytes; the connection is closed", maxHeadBytes)
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 type countingWriter struct {
 	w       io.Writer
 	written int
@@ -289,7 +319,8 @@
 	c.opened.Add(1)
 	c.setUnackedTimeout(raw)
 	const readBufferBytes = 2 << 10 // larger than one event of a stream
-	return &connection{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	source := &headLimiter{source: raw, unlimited: true}
+	return &connection{Conn: raw, address: r.Address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // takeIdle removes the last used idle connection from the pool and returns it. It
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +191,50 @@
 	is.NoErr(err)
 	is.Equal(c.ConnectionsOpened(), int64(2))
 }
+
+// TestEndlessHeadFails guards against memory and time that a response head without end takes: its
+// status line, a header line, or header lines without end.
+func TestEndlessHeadFails(t *testing.T) {
+	is := is.New(t)
+	for _, head := range []struct{ start, repeated string }{
+		{"", "x"}, {"HTTP/1.1 200 OK\r\nX: ", "x"}, {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+	} {
+		var sent atomic.Int64
+		address := startTarget(t, func(conn net.Conn, _ int) {
+			_, _ = io.WriteString(conn, head.start)
+			block := []byte(strings.Repeat(head.repeated, 4096))
+			for sent.Load() < 64<<20 {
+				n, err := conn.Write(block)
+				if sent.Add(int64(n)); err != nil {
+					return
+				}
+			}
+		})
+		startedAt := time.Now()
+		_, err := fetch(t, newClient(), newRequest(address, "a"))
+		is.True(httpclient.WasSent(err)) // the request may have run
+		is.True(time.Since(startedAt) < time.Second)
+		is.True(sent.Load() < 16<<20) // the kernel's buffers included
+	}
+}
+
+// TestResponseEndsWithConnection covers responses with neither a length nor chunks: the end of the
+// connection ends them, and a reset cuts them off.
+func TestResponseEndsWithConnection(t *testing.T) {
+	is := is.New(t)
+	respondUntilEnd := func(reset bool) string {
+		return startTarget(t, func(conn net.Conn, _ int) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello")
+			if tcp, ok := conn.(*net.TCPConn); ok && reset {
+				time.Sleep(50 * time.Millisecond) // so that the bytes arrive before the reset
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+	}
+	body, err := fetch(t, newClient(), newRequest(respondUntilEnd(false), "a"))
+	is.NoErr(err)
+	is.Equal(body, "hello")
+	_, err = fetch(t, newClient(), newRequest(respondUntilEnd(true), "a"))
+	is.True(err != nil)
+}
