Don't wait for the body of a response that says 'not run'

Callers saw: a request that a target refused is retried only at the end of the refusal's body. If that doesn't end, the request lasts until its deadline and is then refused, though another target is free.

Cause: the body was read to its end, so that the connection can be reused, with no bound but the request's deadline.

Change: the body is read for 20 ms at most; a connection with more to come is closed.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -18,6 +18,9 @@
 // is sent on, so that a request whose response ends early can still be retried.
 const maxBufferedBody = 256 << 10
 
+// discardTimeout bounds the wait for the body of a response that says that the request did not run.
+const discardTimeout = 20 * time.Millisecond
+
 // result describes how an attempt ended.
 type result struct {
 	answered   bool // the caller has a response, complete or cut off
@@ -69,7 +72,7 @@
 	rl.recordLimit(c, t, response.Response)
 	class := rl.config.Protocol.Classify(response.Response)
 	if class != Ran {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody))
+		response.Discard(maxBufferedBody, discardTimeout)
 		fault := rl.config.Protocol.FailedTarget(response.Response)
 		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", t.ID).Int("status", response.StatusCode).
 			Str("class", string(class)).Str("fault", fault).Msg("target did not run the request")
--- /dev/null
+++ b/entryd/relay/endless_test.go
@@ -0,0 +1,55 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// respondRaw returns a target that writes bytes of its own choice to the connection, which is closed
+// when write returns.
+func respondRaw(name string, write func(conn net.Conn, id string)) func(e *entry, w http.ResponseWriter, r *http.Request) {
+	return func(e *entry, w http.ResponseWriter, r *http.Request) {
+		e.recordRun(name, r)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			write(conn, r.Header.Get("Id"))
+			_ = conn.Close()
+		}
+	}
+}
+
+// drip writes a byte every 20 ms until the peer closes the connection or 4 s have passed.
+func drip(conn net.Conn) {
+	for range 200 {
+		if _, err := io.WriteString(conn, "x"); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestEndlessRefusalDoesNotDelayRetry guards against waiting for the body of a response that says that
+// the request did not run, when that body does not end.
+func TestEndlessRefusalDoesNotDelayRetry(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []string{"", "Content-Length: 1000\r\n"} {
+		for range 4 { // the first target is chosen at random
+			e := start(t, atMostOnce(), respondRaw("t0", func(conn net.Conn, id string) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\n%s\r\n", id, length)
+				drip(conn)
+			}), serve("t1"))
+			startedAt := time.Now()
+			status, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "answer of t1")
+			is.True(time.Since(startedAt) < 500*time.Millisecond)
+		}
+	}
+}
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -252,6 +252,20 @@
 	a.client.putIdle(a.conn, a.Header)
 }
 
+// Discard reads the body of a response that is of no use, so that its connection can be reused. If the
+// body has more than maxBytes or doesn't end within the timeout, Close closes the connection.
+func (a *Answer) Discard(maxBytes int64, timeout time.Duration) {
+	if a.ContentLength > maxBytes {
+		return
+	}
+	if err := a.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		a.failed = true
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBytes+1))
+	a.failed = a.failed || err != nil || n > maxBytes
+}
+
 // keepAliveMargin is subtracted from the target's keep-alive timeout, so that the
 // client stops using a connection before the target closes it. The timeout is given in
 // whole seconds; if it is less than two seconds, half of it is subtracted instead.
