Cut off a response body without end

Callers saw: a target that sends bytes without end takes the entry's and the caller's bandwidth until the route's timeout, or for an hour on a route without one.

Cause: the rest of a response beyond the buffered part was copied with no bound.

Change: a response of more than 64 MiB is cut off, so that it looks broken, and counts as a failure of its target. Events of streams were bounded already (64 KiB).

TestEndlessBodyIsCutOff failed before: 1 GiB passed.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -129,6 +129,7 @@
 	"target_unreached":   "no target took a connection; it did not run",
 	"answer_lost":        "a target got it and its answer was lost; it may have run",
 	"answer_broken":      "a target's answer broke off; it may have run",
+	"response_too_large": "its target's answer exceeded the size limit and was cut off",
 	"stream_broken":      "its stream broke off and could not be resumed",
 	"timeout":            "its deadline passed while a target ran it; it may have run",
 	"timeout_waiting":    "its deadline passed before a target got it; it did not run",
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -18,6 +18,10 @@
 // is sent on, so that a request whose response ends early can still be retried.
 const maxBufferedBody = 256 << 10
 
+// maxResponseBody bounds the body of a response. It is far above what services return; a faulty target
+// may send bytes without end.
+const maxResponseBody = 64 << 20
+
 // discardTimeout bounds the wait for the body of a response that says that the request did not run.
 const discardTimeout = 20 * time.Millisecond
 
@@ -160,7 +164,7 @@
 	}
 	rl.copyHeader(c, a)
 	if int64(len(body)) == maxBufferedBody {
-		return rl.relayRest(c, a, body)
+		return rl.relayRest(c, t, a, body)
 	}
 	if a.ContentLength < 0 && a.Request != nil && a.Request.Method != http.MethodHead {
 		c.writer.Header().Set("Content-Length", itoa(len(body)))
@@ -172,15 +176,21 @@
 }
 
 // relayRest sends a response that is larger than maxBufferedBody, beginning with the part
-// read so far.
-func (rl *Relay) relayRest(c *call, a *httpclient.Answer, prefix []byte) result {
+// read so far. It cuts off a response that is larger than maxResponseBody.
+func (rl *Relay) relayRest(c *call, t registry.Target, a *httpclient.Answer, prefix []byte) result {
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
 	if _, err := c.writer.Write(prefix); err != nil {
 		return result{answered: true, broken: true}
 	}
-	_, err := io.Copy(c.writer, a.Body)
-	return result{answered: true, broken: err != nil}
+	rest := int64(maxResponseBody - len(prefix))
+	n, err := io.Copy(c.writer, io.LimitReader(a.Body, rest+1))
+	if n > rest {
+		rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("target", t.ID).Int("limit_bytes", maxResponseBody).Msg("response exceeds the size limit; cutting it off")
+		rl.loads.recordFailure(rl.config.Now(), t.ID, true)
+		c.outcome.Reason = "response_too_large"
+	}
+	return result{answered: true, broken: err != nil || n > rest}
 }
 
 // handleCutOff records a response that ended early, and returns what it means for the
--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +55,26 @@
 		}
 	}
 }
+
+// TestEndlessBodyIsCutOff guards against a response body without end that takes the entry's bandwidth
+// until the route's timeout. What the caller gets must not look complete.
+func TestEndlessBodyIsCutOff(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	route := atMostOnce()
+	route.Timeout = 20 * time.Second
+	e := start(t, route, respondRaw("t0", func(conn net.Conn, id string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", id)
+		block := []byte(strings.Repeat("x", 64<<10))
+		for sent.Load() < 1<<30 {
+			n, err := conn.Write(block)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}))
+	status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.Equal(status, http.StatusOK)
+	is.True(err != nil)
+	is.True(sent.Load() < 128<<20)
+}
