Treat a stream that ends inside an event as broken off

Callers saw: a target that breaks off a stream without length or chunks closes its connection. What it had sent of the last event was passed on, and the stream looked complete.

Cause: the end of such a connection is its regular end, and the relay took the bytes after the last blank line for an event.

Change: a stream that ends inside an event is broken off, however its connection ends. It is resumed at another target where its route allows it, and otherwise cut off for the caller too.

TestStreamThatEndsInsideEventIsBroken failed before.

--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphormill.dev/parts/routes"
 )
 
 // respondRaw returns a target that writes bytes of its own choice to the connection, which is closed
@@ -78,3 +80,31 @@
 	is.True(err != nil)
 	is.True(sent.Load() < 128<<20)
 }
+
+// TestStreamThatEndsInsideEventIsBroken guards against a stream without a length that its target breaks
+// off, and that looks complete because the connection was closed and not reset.
+func TestStreamThatEndsInsideEventIsBroken(t *testing.T) {
+	is := is.New(t)
+	ending := func(name, events string) func(e *entry, w http.ResponseWriter, r *http.Request) {
+		return respondRaw(name, func(conn net.Conn, id string) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", id, events)
+		})
+	}
+	const complete = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for range 4 {
+		route := routes.Route{Repeat: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second}
+		e := start(t, route, ending("t0", "id: 1\ndata: a\n\nid: 2\nda"), remainingEvents)
+		status, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, complete)
+	}
+	route := routes.Route{Repeat: routes.Stream, MaxAttempts: 2, Timeout: 2 * time.Second}
+	e := start(t, route, ending("t0", complete))
+	_, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.NoErr(err) // the connection's end between two events ends the stream
+	is.Equal(body, complete)
+	e = start(t, route, ending("t0", "id: 1\ndata: a\n\nid: 2\nda"))
+	_, _, _, err = e.call(t, http.MethodPost, "/r/x", "key")
+	is.True(err != nil)
+}
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -84,10 +84,10 @@
 	return r
 }
 
-// readEvent reads up to the blank line that ends an event. At a regular end of the stream,
-// the bytes after the last blank line count as an event too; if there are none, the error
-// is io.EOF. If the stream breaks inside an event, its bytes are dropped. An event of more
-// than maxEventBytes is an error.
+// readEvent reads up to the blank line that ends an event. At the end of the stream, the error is
+// io.EOF. A stream that ends inside an event has been broken off, also where the end of its
+// connection is its regular end; the bytes of that event are dropped. An event of more than
+// maxEventBytes is an error.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
@@ -100,7 +100,7 @@
 		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(event) > 0:
-			return event, nil
+			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		}
