Tell an entry that starts which requests killed targets

The same cause as with prompt parts, on both request paths: strikes were sent once, when a target died. An entry that starts later knows none, and lets a request that is quarantined everywhere else kill two more targets.

Change: an entry that introduces itself, and a peer that compares all records, gets the latest 16 strikes with the time that is left of each.

TestRestartedEntryRefusesDeadlyRequest failed before: 502, a third target died.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -122,6 +122,9 @@
 		SuspectedParts: func() []quarantine.PartRecord {
 			return kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).SuspectedParts()
 		},
+		LatestStrikes: func() []quarantine.Strike {
+			return kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).LatestStrikes()
+		},
 		Logger: daemon.PartLogger(log, servicePeers),
 	})
 	for _, peer := range s.Peers {
--- a/entryd/dispatch/dispatch.go
+++ b/entryd/dispatch/dispatch.go
@@ -284,6 +284,16 @@
 	d.strikes.Merge(d.config.Now(), s)
 }
 
+// maxStrikesSent bounds the strikes that a starting peer is told.
+const maxStrikesSent = 16
+
+// LatestStrikes returns the latest strikes, for a peer that has just started or was cut off.
+func (d *Dispatcher) LatestStrikes() []quarantine.Strike {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.strikes.Latest(d.config.Now(), maxStrikesSent)
+}
+
 // newAttempt returns the ID of a new attempt.
 func newAttempt() string {
 	return randomname.New()
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -56,11 +56,10 @@
 	// retryReserveShare is the share of the fleet's retry reserve that the known entries
 	// use, because more entries than the known ones may be running.
 	retryReserveShare = 0.5
-	// strikeDuration is the remaining time that is sent to the peers with a new strike. Each
-	// peer computes the strike's expiry from it.
-	strikeDuration = 10 * time.Minute
 	// knowledgeFanout is the number of entries that tell a starting one what they know.
 	knowledgeFanout = 8
+	// maxStrikesSent bounds the strikes against whole requests that it is told.
+	maxStrikesSent = 16
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = 120 * time.Millisecond
 	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
@@ -230,10 +229,16 @@
 
 func (s *Server) broadcastStrike(strike quarantine.Strike) {
 	for _, h := range s.mesh.Known(mesh.RoleEntry) {
-		s.mesh.Send(h.Name, mesh.Message{Strike: &mesh.Strike{Strike: strike, RemainingSeconds: int(strikeDuration.Seconds())}})
+		s.mesh.Send(h.Name, strikeMessage(strike))
 	}
 }
 
+// strikeMessage returns the message that tells a peer of a strike. The peer computes the strike's
+// expiry by its own clock.
+func strikeMessage(strike quarantine.Strike) mesh.Message {
+	return mesh.Message{Strike: &mesh.Strike{Strike: strike, RemainingSeconds: int(time.Until(strike.Until).Seconds()) + 1}}
+}
+
 // broadcastParts tells the other entries what this one knows of prompt parts.
 func (s *Server) broadcastParts(records []quarantine.PartRecord, query bool) {
 	for _, h := range s.mesh.Known(mesh.RoleEntry) {
@@ -254,8 +259,8 @@
 }
 
 // sendKnowledge tells an entry that has started, or that was cut off, which prompt parts are
-// suspected of killing targets, and which rate limits targets name. About knowledgeFanout entries
-// do so.
+// suspected of killing targets, which requests did, and which rate limits targets name. About
+// knowledgeFanout entries do so.
 func (s *Server) sendKnowledge(to mesh.Host) {
 	if to.Role != mesh.RoleEntry || rand.IntN(len(s.mesh.Known(mesh.RoleEntry))+1) >= knowledgeFanout {
 		return
@@ -263,6 +268,9 @@
 	if suspects := s.relay.SuspectedParts(); len(suspects) > 0 {
 		s.mesh.Send(to.Name, mesh.Message{PartRecords: &mesh.PartRecords{Records: suspects}})
 	}
+	for _, strike := range s.relay.LatestStrikes(maxStrikesSent) {
+		s.mesh.Send(to.Name, strikeMessage(strike))
+	}
 	if limits := s.limits.Named(); len(limits) > 0 {
 		s.mesh.Send(to.Name, mesh.Message{TargetLimits: limits})
 	}
--- a/entryd/frontend/parts_test.go
+++ b/entryd/frontend/parts_test.go
@@ -41,7 +41,10 @@
 	return targets
 }
 
-// startPeer starts an entry of a fleet of the given hosts, whose requests all have one prompt part.
+// pathWithoutParts is the path of requests that have no prompt parts. All others have one.
+const pathWithoutParts = "/whole"
+
+// startPeer starts an entry of a fleet of the given hosts.
 func startPeer(t *testing.T, name string, hosts *[]mesh.Host, targets []registry.Target) frontend.Config {
 	t.Helper()
 	c := newPeerConfig(t, name, hosts, targets)
@@ -58,7 +61,12 @@
 	*hosts = append(*hosts, c.Self)
 	c.Hosts.Hosts = func(context.Context) ([]mesh.Host, error) { return *hosts, nil }
 	c.Store.ListTargets = func(context.Context) ([]registry.Target, int64, error) { return targets, 1, nil }
-	c.Protocol.Read = func(*http.Request) relay.RequestInfo { return relay.RequestInfo{SharedParts: []uint64{1}} }
+	c.Protocol.Read = func(r *http.Request) relay.RequestInfo {
+		if r.URL.Path == pathWithoutParts {
+			return relay.RequestInfo{}
+		}
+		return relay.RequestInfo{SharedParts: []uint64{1}}
+	}
 	return c
 }
 
@@ -76,8 +84,10 @@
 }
 
 // status returns the status of a request to an entry, or 0 if it was not answered.
-func status(address string) int {
-	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+func status(address string) int { return statusOf(address, "/") }
+
+func statusOf(address, path string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -127,3 +137,23 @@
 	}
 	is.Equal(deaths.Load(), int64(1))
 }
+
+// TestRestartedEntryRefusesDeadlyRequest guards against an entry that restarts and lets a request kill
+// two more targets, although it was quarantined at all entries.
+func TestRestartedEntryRefusesDeadlyRequest(t *testing.T) {
+	is := is.New(t)
+	var deaths atomic.Int64
+	targets := dyingTargets(t, 3, &deaths)
+	var hosts []mesh.Host
+	first := startPeer(t, "e1", &hosts, targets)
+	second := newPeerConfig(t, "e2", &hosts, targets)
+	stop := startEntry(t, second)
+	for deaths.Load() < 2 && statusOf(first.CallersAddress, pathWithoutParts) == http.StatusBadGateway {
+	}
+	is.Equal(deaths.Load(), int64(2))
+	stop()
+	t.Cleanup(startEntry(t, second))
+	time.Sleep(300 * time.Millisecond) // it has introduced itself
+	is.Equal(statusOf(second.CallersAddress, pathWithoutParts), http.StatusServiceUnavailable)
+	is.Equal(deaths.Load(), int64(2))
+}
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -60,9 +60,11 @@
 	// OnParts is called with what a peer knows of prompt parts, and returns what this entry knows
 	// of the same parts.
 	OnParts func(records []quarantine.PartRecord) []quarantine.PartRecord
-	// SuspectedParts returns the records of all prompt parts suspected of killing targets. They go
-	// to each peer that compares all records, as it does when it starts.
+	// SuspectedParts returns the records of all prompt parts suspected of killing targets, and
+	// LatestStrikes the latest strikes against whole requests. They go to each peer that compares
+	// all records, as it does when it starts.
 	SuspectedParts func() []quarantine.PartRecord
+	LatestStrikes  func() []quarantine.Strike
 	Logger         zerolog.Logger
 }
 
@@ -234,6 +236,7 @@
 	From           string                  `json:"from"`
 	ConfigOffset   int64                   `json:"config_offset"`
 	SuspectedParts []quarantine.PartRecord `json:"suspected_parts,omitempty"`
+	Strikes        []strikeMessage         `json:"strikes,omitempty"`
 }
 
 func (p *Peers) newMessage(e membership.GossipMessage) exchangeMessage {
@@ -259,6 +262,9 @@
 	p.markAlive(name)
 	p.merge(answer.Records)
 	p.config.OnParts(answer.SuspectedParts)
+	for _, strike := range answer.Strikes {
+		p.addStrike(strike)
+	}
 	p.catchUp(ctx, conn, answer.ConfigOffset)
 }
 
@@ -323,11 +329,21 @@
 	LastsMS     int64  `json:"lasts_ms"`
 }
 
+func (p *Peers) newStrikeMessage(s quarantine.Strike) strikeMessage {
+	return strikeMessage{Fingerprint: s.Fingerprint, Incarnation: s.Incarnation, LastsMS: s.Until.Sub(p.config.Now()).Milliseconds()}
+}
+
+// addStrike passes on a strike of a peer with its expiry by the local clock.
+func (p *Peers) addStrike(m strikeMessage) {
+	until := p.config.Now().Add(time.Duration(m.LastsMS) * time.Millisecond)
+	p.config.OnStrike(quarantine.Strike{Fingerprint: m.Fingerprint, Incarnation: m.Incarnation, Until: until})
+}
+
 // BroadcastStrike sends a strike to all peers and waits for them, up to strikeTimeout,
 // before it returns, even if ctx has ended. When the caller sends the request again, every
 // entry that could be reached in this time already has the strike.
 func (p *Peers) BroadcastStrike(ctx context.Context, s quarantine.Strike) {
-	m := strikeMessage{Fingerprint: s.Fingerprint, Incarnation: s.Incarnation, LastsMS: s.Until.Sub(p.config.Now()).Milliseconds()}
+	m := p.newStrikeMessage(s)
 	p.callAll(context.WithoutCancel(ctx), strikeTimeout, func(ctx context.Context, name, address string) {
 		conn, err := p.conns.Get(ctx, address)
 		if err != nil {
@@ -388,6 +404,9 @@
 		answer.Records = p.table.Newer(m.Versions)
 		p.mu.Unlock()
 		answer.SuspectedParts = p.config.SuspectedParts()
+		for _, strike := range p.config.LatestStrikes() {
+			answer.Strikes = append(answer.Strikes, p.newStrikeMessage(strike))
+		}
 	}
 	go p.catchUp(ctx, peer, m.ConfigOffset)
 	return answer, nil
@@ -406,8 +425,7 @@
 	if err != nil {
 		return nil, err
 	}
-	until := p.config.Now().Add(time.Duration(m.LastsMS) * time.Millisecond)
-	p.config.OnStrike(quarantine.Strike{Fingerprint: m.Fingerprint, Incarnation: m.Incarnation, Until: until})
+	p.addStrike(m)
 	return nil, nil
 }
 
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -161,6 +161,14 @@
 	return rl.parts.SuspectRecords(rl.config.Now())
 }
 
+// LatestStrikes returns the latest strikes against whole requests, maxCount at most, for an entry that
+// has just started or was cut off.
+func (rl *Relay) LatestStrikes(maxCount int) []quarantine.Strike {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.strikes.Latest(rl.config.Now(), maxCount)
+}
+
 // formatParts returns the IDs of prompt parts as callers write them.
 func formatParts(parts []uint64) []string {
 	ids := make([]string, 0, len(parts))
--- a/parts/quarantine/quarantine.go
+++ b/parts/quarantine/quarantine.go
@@ -5,6 +5,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -121,3 +123,15 @@
 	}
 	return until, true
 }
+
+// Latest returns the live strikes that expire last, maxCount at most, for a peer that may know none.
+func (l *List) Latest(now time.Time, maxCount int) []Strike {
+	var latest []Strike
+	for fingerprint := range l.strikes {
+		latest = append(latest, l.live(now, fingerprint)...)
+	}
+	slices.SortFunc(latest, func(a, b Strike) int {
+		return cmp.Or(b.Until.Compare(a.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return latest[:min(len(latest), maxCount)]
+}
--- a/proofs/configuration_test.go
+++ b/proofs/configuration_test.go
@@ -103,7 +103,8 @@
 		},
 		Store: f.store, OnStrike: func(quarantine.Strike) {},
 		OnParts:        func([]quarantine.PartRecord) []quarantine.PartRecord { return nil },
-		SuspectedParts: func() []quarantine.PartRecord { return nil }, Logger: zerolog.Nop(),
+		SuspectedParts: func() []quarantine.PartRecord { return nil },
+		LatestStrikes:  func() []quarantine.Strike { return nil }, Logger: zerolog.Nop(),
 	})
 	for _, other := range s.followers {
 		p.AddSeed(other.name, other.name)
