Send no request to a target that said that it leaves

Cause: entries learned of a leaving target only from the registry, which lags and may be away.

Change: the entry that gets such an answer sends that target nothing more, until it starts anew.

--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -82,6 +82,7 @@
 				return limit, err == nil
 			},
 			FailedTarget: func(*http.Response) string { return "" },
+			Availability: func(*http.Response) relay.Availability { return relay.Availability{} },
 		},
 	}
 }
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -74,6 +74,7 @@
 		rl.loads.recordReport(rl.config.Now(), t.ID, load)
 	}
 	rl.recordLimit(c, t, response.Response)
+	rl.recordAvailability(c, t, response.Response)
 	class := rl.config.Protocol.Classify(response.Response)
 	if class != Ran {
 		response.Discard(maxBufferedBody, discardTimeout)
--- /dev/null
+++ b/entryd/relay/availability.go
@@ -0,0 +1,17 @@
+package relay
+
+import (
+	"net/http"
+
+	"camphormill.dev/parts/registry"
+)
+
+// recordAvailability records what a target says in a response about further requests. It binds this
+// entry at once, also while the registry still lists the target as ready.
+func (rl *Relay) recordAvailability(c *call, t registry.Target, response *http.Response) {
+	said := rl.config.Protocol.Availability(response)
+	if said.Leaving && rl.loads.recordLeaving(t) {
+		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Str("address", t.Address).
+			Msg("target says that it leaves; it gets no more requests from this entry")
+	}
+}
--- a/entryd/relay/loads.go
+++ b/entryd/relay/loads.go
@@ -42,6 +42,14 @@
 	connectFailures int // failed connections since the last success
 	ejectedUntil    time.Time
 	errorRate       float64 // moving average of failed responses, 0 to 1
+	// leaving is set if the target said that it leaves, in the incarnation that started at leavingStart.
+	leaving      bool
+	leavingStart time.Time
+}
+
+// unavailable reports whether the target said that it wants no requests.
+func (t *targetLoad) unavailable(target registry.Target) bool {
+	return t.leaving && t.leavingStart.Equal(target.Started)
 }
 
 func newLoadTracker() *loadTracker { return &loadTracker{targets: map[string]*targetLoad{}} }
@@ -74,6 +82,37 @@
 	l.update(id, func(t *targetLoad) { t.reported, t.reportedAt, t.sentSinceReport = load, now, 0 })
 }
 
+// recordLeaving records that a target said that it leaves, and reports whether that is new.
+func (l *loadTracker) recordLeaving(target registry.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.stateOf(target.ID)
+	known := t.leaving && t.leavingStart.Equal(target.Started)
+	t.leaving, t.leavingStart = true, target.Started
+	return !known
+}
+
+// available reports whether a target may get requests, by what it said itself.
+func (l *loadTracker) available(target registry.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.targets[target.ID]
+	return !ok || !t.unavailable(target)
+}
+
+// unavailable returns the addresses of a service's targets that may get no requests.
+func (l *loadTracker) unavailable(r registry.Registry, service string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var addresses []string
+	for id, t := range l.targets {
+		if target, ok := r.Target(id); ok && target.Service == service && t.unavailable(target) {
+			addresses = append(addresses, target.Address)
+		}
+	}
+	return addresses
+}
+
 func (l *loadTracker) recordSuccess(id string) {
 	l.update(id, func(t *targetLoad) { t.connectFailures = 0; t.errorRate *= 1 - errorRateWeight })
 }
@@ -125,8 +164,8 @@
 }
 
 // pick returns the target with the lowest cost, to which it adds a random part of up to
-// half of crossZoneCost. It skips the targets whose IDs are in failed, and returns an
-// ejected target or one at an address in avoid only if there is no other.
+// half of crossZoneCost. It skips the targets whose IDs are in failed and those that want no
+// requests, and returns an ejected target or one at an address in avoid only if there is no other.
 func (l *loadTracker) pick(now time.Time, targets []registry.Target, failed, avoid []string, zone string) (registry.Target, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -137,6 +176,9 @@
 			continue
 		}
 		state := l.stateOf(t.ID)
+		if state.unavailable(t) {
+			continue
+		}
 		ejected := now.Before(state.ejectedUntil) || slices.Contains(avoid, t.Address)
 		cost := state.cost(now) + rand.Float64()*crossZoneCost/2
 		if t.Zone != zone {
--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -48,6 +48,12 @@
 	Running, Waiting, Slots int
 }
 
+// Availability is what a target says in a response about the requests that it wants from this entry.
+type Availability struct {
+	Leaving   bool          // it is about to stop and wants no more
+	PausedFor time.Duration // it wants none for this time
+}
+
 // Protocol translates between HTTP headers and the types of this package.
 type Protocol struct {
 	// Read returns the information in a caller's request.
@@ -61,6 +67,8 @@
 	// ReportedLimit returns the requests per second that a target takes from all entries together,
 	// as it says in a response; false if it names no limit.
 	ReportedLimit func(r *http.Response) (perSecond float64, ok bool)
+	// Availability returns what a target says about further requests.
+	Availability func(r *http.Response) Availability
 	// FailedTarget returns the address of the target whose failure closed a group, or an empty
 	// string.
 	FailedTarget func(r *http.Response) string
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -61,6 +61,10 @@
 			return limit, err == nil
 		},
 		FailedTarget: func(*http.Response) string { return "" },
+		Availability: func(r *http.Response) relay.Availability {
+			seconds, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+			return relay.Availability{Leaving: r.Header.Get("Leaving") != "", PausedFor: time.Duration(seconds * float64(time.Second))}
+		},
 	}
 }
 
