Leave a target alone for the time that its 503 names

Cause: the entry read the header of no target's answer. It counted one waiting request at the target for half a second, and went on choosing it.

Change: the entry sends the target nothing until the time has passed, excludes it in its slot requests and uses no slot there. If only such targets are left, a request is refused at once with the time at which the first of them wants requests again.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -124,6 +124,7 @@
 	"no_service":         "its route names a service that is not published",
 	"no_target":          "no target of its service was known and reachable; it did not run",
 	"no_place":           "the group had no free slot in time, or was closed; it did not run",
+	"targets_paused":     "all targets had asked to be left alone for a while; it did not run",
 	"targets_limited":    "all targets were at the rate limits that they name; it did not run",
 	"target_refused":     "targets were full or draining; it did not run",
 	"target_unreached":   "no target took a connection; it did not run",
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -331,8 +331,12 @@
 		}
 		passedOver = append(passedOver[:len(passedOver):len(passedOver)], t.ID)
 	}
+	now, reason := rl.config.Now(), "targets_limited"
+	if freeAt.IsZero() {
+		freeAt, reason = rl.loads.firstPauseEnd(now, targets), "targets_paused"
+	}
 	if freeAt.IsZero() {
 		return registry.Target{}, &refusal{http.StatusServiceUnavailable, "no_target", defaultRetryAfter}
 	}
-	return registry.Target{}, &refusal{http.StatusServiceUnavailable, "targets_limited", max(freeAt.Sub(rl.config.Now()), minLimitRetryAfter)}
+	return registry.Target{}, &refusal{http.StatusServiceUnavailable, reason, max(freeAt.Sub(now), minLimitRetryAfter)}
 }
--- a/entryd/relay/loads.go
+++ b/entryd/relay/loads.go
@@ -45,11 +45,12 @@
 	// leaving is set if the target said that it leaves, in the incarnation that started at leavingStart.
 	leaving      bool
 	leavingStart time.Time
+	pausedUntil  time.Time // until when the target said that it wants no requests of this entry
 }
 
-// unavailable reports whether the target said that it wants no requests.
-func (t *targetLoad) unavailable(target registry.Target) bool {
-	return t.leaving && t.leavingStart.Equal(target.Started)
+// unavailable reports whether the target said that it wants no requests now.
+func (t *targetLoad) unavailable(now time.Time, target registry.Target) bool {
+	return now.Before(t.pausedUntil) || (t.leaving && t.leavingStart.Equal(target.Started))
 }
 
 func newLoadTracker() *loadTracker { return &loadTracker{targets: map[string]*targetLoad{}} }
@@ -93,20 +94,43 @@
 }
 
 // available reports whether a target may get requests, by what it said itself.
-func (l *loadTracker) available(target registry.Target) bool {
+func (l *loadTracker) available(now time.Time, target registry.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t, ok := l.targets[target.ID]
-	return !ok || !t.unavailable(target)
+	return !ok || !t.unavailable(now, target)
+}
+
+// recordPause records that a target wants no requests of this entry until a time.
+func (l *loadTracker) recordPause(id string, until time.Time) {
+	l.update(id, func(t *targetLoad) {
+		if until.After(t.pausedUntil) {
+			t.pausedUntil = until
+		}
+	})
+}
+
+// firstPauseEnd returns when the first of the paused targets wants requests again, or the zero time
+// if none is paused.
+func (l *loadTracker) firstPauseEnd(now time.Time, targets []registry.Target) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first time.Time
+	for _, target := range targets {
+		if t, ok := l.targets[target.ID]; ok && now.Before(t.pausedUntil) && (first.IsZero() || t.pausedUntil.Before(first)) {
+			first = t.pausedUntil
+		}
+	}
+	return first
 }
 
 // unavailable returns the addresses of a service's targets that may get no requests.
-func (l *loadTracker) unavailable(r registry.Registry, service string) []string {
+func (l *loadTracker) unavailable(now time.Time, r registry.Registry, service string) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var addresses []string
 	for id, t := range l.targets {
-		if target, ok := r.Target(id); ok && target.Service == service && t.unavailable(target) {
+		if target, ok := r.Target(id); ok && target.Service == service && t.unavailable(now, target) {
 			addresses = append(addresses, target.Address)
 		}
 	}
@@ -176,7 +200,7 @@
 			continue
 		}
 		state := l.stateOf(t.ID)
-		if state.unavailable(t) {
+		if state.unavailable(now, t) {
 			continue
 		}
 		ejected := now.Before(state.ejectedUntil) || slices.Contains(avoid, t.Address)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -417,7 +417,7 @@
 // request's service and wants requests.
 func (rl *Relay) readyTargetAt(c *call, engine string) (registry.Target, bool) {
 	t, ok := rl.config.View.Targets().AtAddress(engine)
-	return t, ok && t.Service == c.service.Name && t.State == registry.Ready && rl.loads.available(t)
+	return t, ok && t.Service == c.service.Name && t.State == registry.Ready && rl.loads.available(rl.config.Now(), t)
 }
 
 // newSlotRequest returns the message that asks the group's leader for a slot.
@@ -431,7 +431,7 @@
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
 	request.Limits = rl.config.Limits.ofEngines(targets, c.service.Name)
-	request.ExcludedEngines = rl.loads.unavailable(targets, c.service.Name)
+	request.ExcludedEngines = rl.loads.unavailable(now, targets, c.service.Name)
 	for _, id := range c.failedTargets {
 		if t, ok := targets.Target(id); ok {
 			request.ExcludedEngines = append(request.ExcludedEngines, t.Address)
