A new leader tells entries at once that its group has closed

Callers' requests stall meanwhile.

Cause: for its first 400 ms a leader doesn't announce a closed group to entries, because it may not have received all reports yet. That held also after it had received them and had announced the group as open. Ruled out: an engine that its daemon had not read yet (all four had been read eight to ten times).

Change: the wait ends when the leader has seen its group open.

--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -145,7 +145,7 @@
 	l.announcedAt = now
 	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, OpensInMS: int(l.outages.opensIn(now).Milliseconds()), SlowEngines: l.slowEngines}}
 	roles := []mesh.Role{mesh.RoleTarget, mesh.RoleEntry}
-	if !l.open && now.Sub(l.startedAt) < discoveryGracePeriod {
+	if !l.open && !l.hasBeenOpen() && now.Sub(l.startedAt) < discoveryGracePeriod {
 		roles = roles[:1] // entries would refuse requests of a group that may be open
 	}
 	for _, role := range roles {
@@ -155,6 +155,9 @@
 	}
 }
 
+// hasBeenOpen reports whether this leader has seen its group open.
+func (l *leader) hasBeenOpen() bool { return l.open || !l.outages.closedAt.IsZero() }
+
 // handle processes a message from another daemon to the leader.
 func (l *leader) handle(from mesh.Host, m mesh.Message) {
 	switch {
