Use all groups of a service

Cause: an entry keeps one leader for a service, the one with the highest fence. All 6,329 placements of the first 12 s were made by the leader of one group; the ranks of the other two stayed idle. Orders of the other leaders that go through an entry were refused as outdated, since fences were compared across groups.

Ruled out: closed groups (all three had been open since 8.7 s before the traffic).

Change: entries keep the leaders of all groups. They ask the less loaded of two that they choose at random, by the load in the leaders' announcements, and the others if it has no slot. Orders name their group.

TestAllGroupsOfServiceGetRequests failed before.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -212,7 +212,7 @@
 // refuses an order whose fencing token is out of date. The leader repeats an order that gets
 // no result.
 func (s *Server) executeOrder(from mesh.Host, o mesh.Order) {
-	if s.slots.Fenced(o.Service, o.Order.Fence) {
+	if s.slots.Fenced(o.Service, o.Group, o.Order.Fence) {
 		s.mesh.Send(o.Leader, mesh.Message{OrderResult: &mesh.OrderResult{ID: o.ID, Result: mapswitch.Fenced}})
 		return
 	}
--- /dev/null
+++ b/entryd/relay/groups_test.go
@@ -0,0 +1,98 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"camphormill.dev/parts/mapswitch"
+	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/routes"
+)
+
+// groupLeader is a leader that grants slots at one engine, or refuses all.
+type groupLeader struct {
+	host         mesh.Host
+	announcement mesh.LeaderAnnouncement
+	refuses      atomic.Bool
+}
+
+// startGroupLeaders starts a leader of a group of its own for each target.
+func (e *entry) startGroupLeaders(t *testing.T) []*groupLeader {
+	t.Helper()
+	is := is.New(t)
+	hosts := []mesh.Host{e.mesh.Self()}
+	var leaders []*groupLeader
+	for i := range e.addresses {
+		name := string(rune('a' + i))
+		host := mesh.Host{Name: "leader-" + name, Role: mesh.RoleTarget, Address: freeAddress(t), Zone: "z", Engine: e.addresses[i]}
+		leaders = append(leaders, &groupLeader{host: host, announcement: mesh.LeaderAnnouncement{Service: "s", Group: name, Fence: mapswitch.Fence(i + 1), Open: true}})
+		hosts = append(hosts, host)
+	}
+	list := mesh.Directory{
+		Register: func(context.Context, mesh.Host) error { return nil },
+		Hosts:    func(context.Context) ([]mesh.Host, error) { return hosts, nil },
+	}
+	for _, l := range leaders {
+		var m *mesh.Mesh
+		m, err := mesh.Listen(mesh.Config{
+			Self: l.host, PeerTimeout: time.Second, Now: time.Now, Log: zerolog.Nop(),
+			Handle: func(from mesh.Host, message mesh.Message) {
+				if r := message.SlotRequest; r != nil {
+					response := mesh.SlotResponse{ID: r.ID, Engine: l.host.Engine}
+					if l.refuses.Load() {
+						response = mesh.SlotResponse{ID: r.ID, RetryAfterMS: 1000}
+					}
+					m.Send(from.Name, mesh.Message{SlotResponse: &response})
+				}
+			},
+		})
+		is.NoErr(err)
+		go m.Run(t.Context())
+		go m.Join(t.Context(), list)
+	}
+	go e.mesh.Join(t.Context(), list)
+	time.Sleep(300 * time.Millisecond) // all hosts know each other
+	return leaders
+}
+
+// TestAllGroupsOfServiceGetRequests guards against entries that know one leader for a service with
+// several groups, so that one group gets all requests.
+func TestAllGroupsOfServiceGetRequests(t *testing.T) {
+	is := is.New(t)
+	e := startWith(t, streamRoute(2), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, serve("t0"), serve("t1"), serve("t2"))
+	leaders := e.startGroupLeaders(t)
+	call := func(n int) map[string]int {
+		e.mu.Lock()
+		e.runs = nil
+		e.mu.Unlock()
+		for range n {
+			for _, l := range leaders {
+				e.slots.Handle(l.host, mesh.Message{LeaderAnnouncement: &l.announcement})
+			}
+			status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+		}
+		runs := map[string]int{}
+		for _, run := range e.runs {
+			runs[run[:2]]++
+		}
+		return runs
+	}
+	runs := call(60)
+	is.True(runs["t0"] >= 8 && runs["t1"] >= 8 && runs["t2"] >= 8)
+	leaders[1].refuses.Store(true) // full
+	is.Equal(call(30)["t1"], 0)    // the other groups serve what it refuses
+	leaders[1].refuses.Store(false)
+	leaders[2].announcement.Open = false
+	is.Equal(call(30)["t2"], 0)
+	leaders[2].announcement.Open, leaders[0].announcement.Load = true, 0.9
+	runs = call(60)
+	is.True(runs["t0"] < runs["t1"] && runs["t0"] < runs["t2"])
+}
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -139,17 +139,16 @@
 	return len(l.named)
 }
 
-// Named returns limits that targets name, maxNamedLimits at most.
+// Named returns limits that targets name, a random choice of maxNamedLimits at most.
 func (l *Limits) Named() []mesh.TargetLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var limits []mesh.TargetLimit
-	for target, known := range l.named { // in random order
-		if len(limits) < maxNamedLimits {
-			limits = append(limits, mesh.TargetLimit{Target: target, PerSecond: known.perSecond})
-		}
+	for target, known := range l.named {
+		limits = append(limits, mesh.TargetLimit{Target: target, PerSecond: known.perSecond})
 	}
-	return limits
+	rand.Shuffle(len(limits), func(i, j int) { limits[i], limits[j] = limits[j], limits[i] })
+	return limits[:min(len(limits), maxNamedLimits)]
 }
 
 // ofEngines returns the limits of a service's engines by their addresses, for the leader of a group.
--- a/entryd/relay/slots.go
+++ b/entryd/relay/slots.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// groupTTL is the time after its leader's last announcement from which a group is forgotten.
+	groupTTL = time.Minute
 	// leaderTimeout is the time after its last announcement from which a leader is not
 	// asked any more.
 	leaderTimeout = 900 * time.Millisecond
@@ -45,7 +47,7 @@
 	sequence atomic.Int64
 
 	mu      sync.Mutex
-	leaders map[string]groupLeader            // by service
+	leaders map[string]map[string]groupLeader // by service and group
 	pending map[string]chan mesh.SlotResponse // by ID of the slot request that waits for a response
 	held    map[string]*heldSlot              // by ID of the slot request
 }
@@ -63,6 +65,7 @@
 	host        string
 	fence       mapswitch.Fence
 	open        bool
+	load        float64   // share of the group's slots in use or waited for
 	opensAt     time.Time // when a closed group is expected to open; may be past
 	slowEngines []string  // addresses of engines that should get no requests
 	lastHeardAt time.Time
@@ -81,7 +84,7 @@
 
 // NewSlotClient returns a SlotClient without known leaders.
 func NewSlotClient(c SlotClientConfig) *SlotClient {
-	return &SlotClient{config: c, leaders: map[string]groupLeader{}, pending: map[string]chan mesh.SlotResponse{}, held: map[string]*heldSlot{}}
+	return &SlotClient{config: c, leaders: map[string]map[string]groupLeader{}, pending: map[string]chan mesh.SlotResponse{}, held: map[string]*heldSlot{}}
 }
 
 // Handle processes a message of a group's leader: its state, a response or a move.
@@ -142,23 +145,59 @@
 func (c *SlotClient) recordLeader(from mesh.Host, announcement mesh.LeaderAnnouncement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	previous := c.leaders[announcement.Service]
+	groups := c.leaders[announcement.Service]
+	if groups == nil {
+		groups = map[string]groupLeader{}
+		c.leaders[announcement.Service] = groups
+	}
+	previous := groups[announcement.Group]
 	now := c.config.Now()
 	if announcement.Fence < previous.fence && now.Sub(previous.lastHeardAt) < leaderTimeout {
 		return
 	}
 	if previous.host != from.Name || previous.open != announcement.Open {
-		c.config.Log.Info().Str("leader", from.Name).Str("service", announcement.Service).Int64("fence", int64(announcement.Fence)).
+		c.config.Log.Info().Str("leader", from.Name).Str("service", announcement.Service).Str("group", announcement.Group).Int64("fence", int64(announcement.Fence)).
 			Bool("open", announcement.Open).Msg("leader or state of the group changed")
 	}
-	c.leaders[announcement.Service] = groupLeader{host: from.Name, fence: announcement.Fence, open: announcement.Open, opensAt: now.Add(time.Duration(announcement.OpensInMS) * time.Millisecond), slowEngines: announcement.SlowEngines, lastHeardAt: now}
+	groups[announcement.Group] = groupLeader{
+		host: from.Name, fence: announcement.Fence, open: announcement.Open, load: announcement.Load, slowEngines: announcement.SlowEngines, lastHeardAt: now,
+		opensAt: now.Add(time.Duration(announcement.OpensInMS) * time.Millisecond),
+	}
+	for group, leader := range groups { // a group that no longer exists
+		if now.Sub(leader.lastHeardAt) > groupTTL {
+			delete(groups, group)
+		}
+	}
 }
 
-// Fenced reports whether a leader with a higher fencing token is known for the service.
-func (c *SlotClient) Fenced(service string, fence mapswitch.Fence) bool {
+// Fenced reports whether a leader with a higher fencing token is known for the group.
+func (c *SlotClient) Fenced(service, group string, fence mapswitch.Fence) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fence < c.leaders[service].fence
+	return fence < c.leaders[service][group].fence
+}
+
+// liveLeaders returns the leaders of a service's groups that have not timed out, in the order in
+// which to ask them, the open ones first. Of two open groups chosen at random, the less loaded one is
+// asked first, so that entries with the same announcements don't all choose the same group. The
+// caller holds the lock.
+func (c *SlotClient) liveLeaders(service string) []groupLeader {
+	now := c.config.Now()
+	var open, closed []groupLeader
+	for _, leader := range c.leaders[service] {
+		switch {
+		case now.Sub(leader.lastHeardAt) > leaderTimeout:
+		case leader.open:
+			open = append(open, leader)
+		default:
+			closed = append(closed, leader)
+		}
+	}
+	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	if len(open) > 1 && open[1].load < open[0].load {
+		open[0], open[1] = open[1], open[0]
+	}
+	return append(open, closed...)
 }
 
 // closedRetryAfter returns when a request should come back that a target refused because its group
@@ -166,19 +205,34 @@
 func (c *SlotClient) closedRetryAfter(service string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	leader := c.leaders[service]
-	if leader.open {
+	leaders := c.liveLeaders(service)
+	if len(leaders) == 0 || leaders[0].open {
 		return groupClosedRetryAfter
 	}
-	return leader.retryAfter(c.config.Now())
+	return soonestRetryAfter(c.config.Now(), leaders)
+}
+
+// soonestRetryAfter returns when a request should come back that none of the closed groups can serve.
+func soonestRetryAfter(now time.Time, closed []groupLeader) time.Duration {
+	soonest := closed[0]
+	for _, leader := range closed[1:] {
+		if leader.opensAt.Before(soonest.opensAt) {
+			soonest = leader
+		}
+	}
+	return soonest.retryAfter(now)
 }
 
 // slowEngines returns the addresses of a service's engines that should get no requests, as
-// last reported by its leader.
+// last reported by the leaders of its groups.
 func (c *SlotClient) slowEngines(service string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leaders[service].slowEngines
+	var slow []string
+	for _, leader := range c.leaders[service] {
+		slow = append(slow, leader.slowEngines...)
+	}
+	return slow
 }
 
 // slotGrant is the result of a slot request. If it has no engine and is not refused, the
@@ -192,22 +246,38 @@
 	release func()
 }
 
-// requestSlot asks the leader for a slot. If there is no leader or no response in time,
-// neither engine nor refused is set. It extends the ID of the request, so that each slot
-// request of a call has its own.
+// requestSlot asks the leader of one of the service's groups for a slot, and those of the others if
+// that group has none. If there is no leader or no response in time, neither engine nor refused is
+// set.
 func (c *SlotClient) requestSlot(ctx context.Context, request mesh.SlotRequest) slotGrant {
 	noGrant := slotGrant{release: func() {}}
 	c.mu.Lock()
-	leader, ok := c.leaders[request.Service]
-	if !ok || c.config.Now().Sub(leader.lastHeardAt) > leaderTimeout {
-		c.mu.Unlock()
+	leaders := c.liveLeaders(request.Service)
+	c.mu.Unlock()
+	switch {
+	case len(leaders) == 0:
 		return noGrant
-	}
-	if !leader.open {
-		c.mu.Unlock()
-		noGrant.refused, noGrant.retryAfter = true, leader.retryAfter(c.config.Now())
+	case !leaders[0].open:
+		noGrant.refused, noGrant.retryAfter = true, soonestRetryAfter(c.config.Now(), leaders)
 		return noGrant
 	}
+	grant := noGrant
+	for _, leader := range leaders {
+		if !leader.open {
+			break
+		}
+		if grant = c.requestSlotOf(ctx, leader, request); !grant.refused {
+			break
+		}
+	}
+	return grant
+}
+
+// requestSlotOf asks the leader of one group for a slot. It extends the ID of the request, so that
+// each slot request of a call has its own.
+func (c *SlotClient) requestSlotOf(ctx context.Context, leader groupLeader, request mesh.SlotRequest) slotGrant {
+	noGrant := slotGrant{release: func() {}}
+	c.mu.Lock()
 	request.ID += "." + strconv.FormatInt(c.sequence.Add(1), 36)
 	responses := make(chan mesh.SlotResponse, 1)
 	c.pending[request.ID] = responses
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -153,6 +153,9 @@
 	Group   string          `json:"group"`
 	Fence   mapswitch.Fence `json:"fence"`
 	Open    bool            `json:"open"` // the group accepts requests
+	// Load is the share of the group's slots that requests use or wait for; above 1 if more wait
+	// than are free.
+	Load float64 `json:"load,omitempty"`
 	// OpensInMS is the time, in milliseconds from sending, after which a closed group is expected
 	// to accept requests again; 0 if it could open at any moment.
 	OpensInMS int `json:"opens_in_ms,omitempty"`
@@ -165,6 +168,7 @@
 	ID      int64           `json:"id"`
 	Leader  string          `json:"leader"` // host to send the OrderResult to
 	Service string          `json:"service"`
+	Group   string          `json:"group"`
 	Engine  string          `json:"engine"`
 	Order   mapswitch.Order `json:"order"`
 	// Layout is the complete expert map of a prepare order, by EncodeLayout.
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -216,6 +216,16 @@
 // Waiting returns the number of queued requests.
 func (s *Scheduler) Waiting() int { return len(s.waiting) }
 
+// Load returns the share of the slots that requests use or wait for; above 1 if more wait than are
+// free.
+func (s *Scheduler) Load() float64 {
+	slots := 0
+	for _, n := range s.slots {
+		slots += n
+	}
+	return float64(len(s.assignments)+len(s.waiting)) / float64(max(slots, 1))
+}
+
 // Offer assigns a slot to a request, queues it, or refuses it. It returns the same
 // decision again for a request that runs or is queued.
 func (s *Scheduler) Offer(now time.Time, r Request) Decision {
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -143,7 +143,7 @@
 		return
 	}
 	l.announcedAt = now
-	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, OpensInMS: int(l.outages.opensIn(now).Milliseconds()), SlowEngines: l.slowEngines}}
+	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, Load: l.scheduler.Load(), OpensInMS: int(l.outages.opensIn(now).Milliseconds()), SlowEngines: l.slowEngines}}
 	roles := []mesh.Role{mesh.RoleTarget, mesh.RoleEntry}
 	if !l.open && !l.hasBeenOpen() && now.Sub(l.startedAt) < discoveryGracePeriod {
 		roles = roles[:1] // entries would refuse requests of a group that may be open
--- a/targetd/rankagent/switching.go
+++ b/targetd/rankagent/switching.go
@@ -260,7 +260,7 @@
 	l.lastOrderID++
 	sent := sentOrder{id: l.lastOrderID, order: o, sentAt: now, firstSentAt: firstSentAt}
 	l.sentOrders[rank] = sent
-	message := mesh.Order{ID: sent.id, Leader: l.config.Self.Name, Service: l.config.Service, Engine: report.rank.Engine, Order: o}
+	message := mesh.Order{ID: sent.id, Leader: l.config.Self.Name, Service: l.config.Service, Group: l.group, Engine: report.rank.Engine, Order: o}
 	to := l.executorHost(report, o.Kind, sent.id)
 	if to == "" || now.Sub(firstSentAt) > directOrderAfter {
 		go l.orderDirectly(rank, message, l.layouts)
