Don't poll the engines of other groups

Cause: a leader reads the engine of each host that doesn't report to it, in case that host's daemon is silent. The hosts of other groups never report to it; with three groups of 24 ranks, each leader read 48 engines four times a second, which is paid for.

Change: an engine that belonged to another group is read every 10 s only.

TestEnginesOfOtherGroupsAreNotPolled failed before.

--- a/targetd/rankagent/group_test.go
+++ b/targetd/rankagent/group_test.go
@@ -26,6 +26,9 @@
 	groupSlots   = 6
 )
 
+// otherEngine is the address of an engine of another group.
+const otherEngine = "other-engine"
+
 // fakeGroup is a lock-step group of fake engines that carry out orders as real engines do.
 type fakeGroup struct {
 	mu           sync.Mutex
@@ -49,6 +52,10 @@
 	lastAnnouncedOpen                  bool
 	// refusing is set for the ranks whose engines refuse connections.
 	refusing [groupRanks]bool
+	// otherGroup adds a host to the fleet whose engine belongs to another group. otherReads counts
+	// the reads of that engine.
+	otherGroup bool
+	otherReads int
 }
 
 type fakeEngine struct {
@@ -189,6 +196,10 @@
 			}
 			g.mu.Lock()
 			defer g.mu.Unlock()
+			if address == otherEngine {
+				g.otherReads++
+				return rankagent.Report{Group: "other", Size: 1, Open: true}, nil
+			}
 			rank := engines[address]
 			if g.refusing[rank] {
 				return rankagent.Report{}, errors.Wrap(syscall.ECONNREFUSED, "dial")
@@ -233,6 +244,9 @@
 		is.NoErr(socket.Close())
 	}
 	hosts = append(hosts, g.startEntry(t, ctx, engines))
+	if g.otherGroup {
+		hosts = append(hosts, mesh.Host{Name: "other", Role: mesh.RoleTarget, Address: "127.0.0.1:9", Engine: otherEngine})
+	}
 	var mu sync.Mutex
 	claims := int64(0)
 	for i, host := range hosts[:groupRanks] {
@@ -389,6 +403,22 @@
 	is.True(g.awaitAnnouncement(true, time.Second))
 }
 
+// TestEnginesOfOtherGroupsAreNotPolled guards against a leader that takes the hosts of other groups, which
+// never report to it, for silent ones, and keeps reading their engines. Such reads are paid for.
+func TestEnginesOfOtherGroupsAreNotPolled(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newFakeGroup(30 * time.Millisecond)
+	g.otherGroup = true
+	g.start(t, ctx)
+	is.True(g.awaitAnnouncement(true, 5*time.Second))
+	time.Sleep(2 * time.Second) // real time, since daemons run on the real clock
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.True(g.otherReads <= 4) // a few leaders may follow one another at the start
+}
+
 // TestDemandShiftCausesOneSwitch uses slow passes, so that the held pass begins well after the
 // switch has ended for the leader. A leader that planned in between would take the old layout
 // for the current one and copy all replicas again.
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -30,6 +30,9 @@
 	// engine has a cost.
 	directReadAfter    = 300 * time.Millisecond
 	directReadInterval = 250 * time.Millisecond
+	// otherGroupReadInterval is the interval for an engine that belonged to another group. Groups
+	// are formed again rarely, and the daemon of a rank that has joined reports by itself.
+	otherGroupReadInterval = 10 * time.Second
 	// orderRetryInterval is the time after which an unanswered order is sent again.
 	orderRetryInterval = 60 * time.Millisecond
 	// prepareRetryInterval is the time after which an unanswered prepare order is sent again.
@@ -104,12 +107,13 @@
 	startedAt     time.Time
 	passDurations passDurations
 	directReadAt  map[string]time.Time // start of the last direct read, by host name
+	otherGroup    map[string]bool      // hosts whose engines belonged to another group at the last direct read, by name
 }
 
 func newLeader(c Config, group string, fence mapswitch.Fence, settings routes.Engine) *leader {
 	return &leader{
 		config: c, group: group, settings: settings, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(),
-		requesterHosts: map[string]string{}, sentOrders: map[int]sentOrder{}, directReadAt: map[string]time.Time{}, startedAt: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
+		requesterHosts: map[string]string{}, sentOrders: map[int]sentOrder{}, directReadAt: map[string]time.Time{}, otherGroup: map[string]bool{}, startedAt: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
 	}
 }
 
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -42,7 +42,11 @@
 		reporting[r.host] = reporting[r.host] || (!r.direct && now.Sub(r.receivedAt) < directReadAfter)
 	}
 	for _, h := range l.config.Mesh.Known(mesh.RoleTarget) {
-		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= directReadInterval {
+		interval := directReadInterval
+		if l.otherGroup[h.Name] {
+			interval = otherGroupReadInterval
+		}
+		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= interval {
 			l.directReadAt[h.Name] = now
 			go l.readEngine(h)
 		}
@@ -61,6 +65,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.otherGroup[h.Name] = r.Group != l.group
 	if r.Group != l.group {
 		return
 	}
