--- a/entryd/frontend/parts_test.go
+++ b/entryd/frontend/parts_test.go
@@ -100,9 +100,9 @@
 	return response.StatusCode
 }
 
-// TestLateEntryRefusesDeadlyPart guards against an entry that starts after a target died and lets
+// TestLateEntryRefusesPoisonPart guards against an entry that starts after a target died and lets
 // the same prompt part kill another one.
-func TestLateEntryRefusesDeadlyPart(t *testing.T) {
+func TestLateEntryRefusesPoisonPart(t *testing.T) {
 	is := is.New(t)
 	var deaths atomic.Int64
 	targets := dyingTargets(t, 2, &deaths)
@@ -118,9 +118,9 @@
 	is.Equal(deaths.Load(), int64(1))
 }
 
-// TestRestartedEntryRefusesDeadlyPart guards against an entry that restarts so quickly that its peers
+// TestRestartedEntryRefusesPoisonPart guards against an entry that restarts so quickly that its peers
 // don't miss it, and that then lets a prompt part kill another target.
-func TestRestartedEntryRefusesDeadlyPart(t *testing.T) {
+func TestRestartedEntryRefusesPoisonPart(t *testing.T) {
 	is := is.New(t)
 	var deaths atomic.Int64
 	targets := dyingTargets(t, 2, &deaths)
@@ -138,9 +138,9 @@
 	is.Equal(deaths.Load(), int64(1))
 }
 
-// TestRestartedEntryRefusesDeadlyRequest guards against an entry that restarts and lets a request kill
+// TestRestartedEntryRefusesPoisonRequest guards against an entry that restarts and lets a request kill
 // two more targets, although it was quarantined at all entries.
-func TestRestartedEntryRefusesDeadlyRequest(t *testing.T) {
+func TestRestartedEntryRefusesPoisonRequest(t *testing.T) {
 	is := is.New(t)
 	var deaths atomic.Int64
 	targets := dyingTargets(t, 3, &deaths)
--- a/entryd/relay/parts_test.go
+++ b/entryd/relay/parts_test.go
@@ -17,7 +17,7 @@
 
 const (
 	soundPart  = "a1"
-	deadlyPart = "dead"
+	poisonPart = "dead"
 )
 
 // dieOn returns a target that streams an answer, but dies when it begins to answer a request
@@ -68,14 +68,14 @@
 func TestSharedPartThatKillsTargetsIsQuarantined(t *testing.T) {
 	is := is.New(t)
 	var deaths atomic.Int64
-	target := dieOn(deadlyPart, &deaths)
+	target := dieOn(poisonPart, &deaths)
 	route := routes.Route{Repeat: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second}
 	e := start(t, route, target, target, target, target, target, target)
 	status, _ := e.callWithParts(t, "s0", soundPart)
 	is.Equal(status, http.StatusOK)
 	var header http.Header
 	for i := range 5 {
-		status, header = e.callWithParts(t, fmt.Sprint("d", i), soundPart, deadlyPart)
+		status, header = e.callWithParts(t, fmt.Sprint("d", i), soundPart, poisonPart)
 	}
 	is.True(deaths.Load() <= 2)
 	is.Equal(status, http.StatusServiceUnavailable)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -194,85 +193,6 @@
 	return rl.forward(ctx, c)
 }
 
-// refusal is an error response of the relay itself.
-type refusal struct {
-	status     int
-	reason     string
-	retryAfter time.Duration // 0 if a later attempt would not help
-}
-
-// admit checks the routes' freshness, the route and the key, chooses the service, sets the
-// deadline and reads the body. It returns nil if the request may be forwarded.
-func (rl *Relay) admit(c *call) *refusal {
-	if !rl.config.View.Loaded() {
-		return &refusal{http.StatusServiceUnavailable, "not_ready", defaultRetryAfter}
-	}
-	if !rl.config.View.Current(c.request.Context(), rl.config.MaxProofAge) {
-		return &refusal{http.StatusServiceUnavailable, "routes_not_current", defaultRetryAfter}
-	}
-	table := rl.config.View.Routes()
-	c.limits, c.routesVersion = table.Limits(), table.Version()
-	route, ok := table.Match(c.request.Host, c.request.URL.Path)
-	if !ok {
-		return &refusal{status: http.StatusNotFound, reason: "no_route"}
-	}
-	c.route = route
-	c.outcome.Route = route.Name
-	if table.NeedsKey() && !route.Anonymous {
-		if c.organisation, ok = table.Organisation(c.info.Key); !ok {
-			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
-		}
-	}
-	c.outcome.Organisation = c.organisation.Name
-	name := route.Pick(rand.Float64())
-	if c.service, ok = table.Service(name); !ok {
-		return &refusal{http.StatusServiceUnavailable, "no_service", defaultRetryAfter}
-	}
-	c.outcome.Service = name
-	if _, streamsRefused := rl.drainState(); streamsRefused && needsSlot(c.service) {
-		return &refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
-	}
-	c.deadline = c.startedAt.Add(time.Hour) // if the route sets no timeout; the caller's can only shorten it
-	if route.Timeout > 0 {
-		c.deadline = c.startedAt.Add(route.Timeout)
-	}
-	if timeout := c.info.Timeout; timeout > 0 && c.startedAt.Add(timeout).Before(c.deadline) {
-		c.deadline = c.startedAt.Add(timeout)
-	}
-	return rl.admitBody(c)
-}
-
-// admitBody reads the body and refuses a quarantined request. For any other request it
-// adds RetryShare to the retry budget of the service.
-func (rl *Relay) admitBody(c *call) *refusal {
-	maxBytes := c.limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = math.MaxInt32
-	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBytes+1))
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
-	}
-	if int64(len(body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
-	c.body = body
-	c.fingerprint = quarantine.Fingerprint(c.info.Key, c.request.Method+" "+c.request.RequestURI, body)
-	for _, part := range c.info.SharedParts {
-		c.parts = append(c.parts, quarantine.NewPartID(c.service.Name, part))
-	}
-	if refused := rl.refuseParts(c); refused != nil {
-		return refused
-	}
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	if rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
-	}
-	rl.retryBudget(c.service.Name).Deposit(rl.config.RetryShare)
-	return nil
-}
-
 // retryBudget returns the retry budget of a service. The caller holds the lock.
 func (rl *Relay) retryBudget(service string) *limit.RetryBudget {
 	b, ok := rl.retryBudgets[service]
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -31,8 +31,12 @@
 func (rl *Relay) refuseParts(c *call) *refusal {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	now := rl.config.Now()
-	until, refused := rl.parts.Refused(now, c.parts)
+	return rl.partRefusal(rl.config.Now(), c.parts)
+}
+
+// partRefusal is refuseParts for a caller that holds the lock.
+func (rl *Relay) partRefusal(now time.Time, parts []quarantine.PartID) *refusal {
+	until, refused := rl.parts.Refused(now, parts)
 	if !refused {
 		return nil
 	}
@@ -44,12 +48,13 @@
 // quarantine is over, this request becomes its trial, and the other entries are told to wait for
 // the outcome.
 func (rl *Relay) startAttempt(c *call) *refusal {
-	if refused := rl.refuseParts(c); refused != nil {
-		return refused
-	}
 	c.attemptEvents = 0
 	rl.mu.Lock()
 	now := rl.config.Now()
+	if refused := rl.partRefusal(now, c.parts); refused != nil {
+		rl.mu.Unlock()
+		return refused
+	}
 	tried := rl.parts.StartTrial(now, c.parts)
 	records := rl.parts.Records(now, tried)
 	rl.mu.Unlock()
--- a/parts/quarantine/parts_test.go
+++ b/parts/quarantine/parts_test.go
@@ -13,7 +13,7 @@
 
 const (
 	sound  = quarantine.PartID(1)
-	deadly = quarantine.PartID(2)
+	poison = quarantine.PartID(2)
 	other  = quarantine.PartID(3)
 )
 
@@ -50,44 +50,44 @@
 	is := is.New(t)
 	now := time.Now()
 	l := quarantine.NewPartList()
-	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
-	until, _ := l.Refused(now, []quarantine.PartID{deadly})
+	l.AddDeath(now, "t1", []quarantine.PartID{poison})
+	until, _ := l.Refused(now, []quarantine.PartID{poison})
 	now = until.Add(time.Millisecond)
-	is.True(!refused(l, now, deadly))
-	is.Equal(l.StartTrial(now, []quarantine.PartID{deadly}), []quarantine.PartID{deadly})
-	is.True(refused(l, now, deadly)) // the next request waits for the outcome
-	l.AddDeath(now, "t2", []quarantine.PartID{deadly})
-	is.True(refused(l, now.Add(5*time.Minute), deadly))
+	is.True(!refused(l, now, poison))
+	is.Equal(l.StartTrial(now, []quarantine.PartID{poison}), []quarantine.PartID{poison})
+	is.True(refused(l, now, poison)) // the next request waits for the outcome
+	l.AddDeath(now, "t2", []quarantine.PartID{poison})
+	is.True(refused(l, now.Add(5*time.Minute), poison))
 }
 
 // TestDeathIsExplainedByAnotherPart checks that a part which has never been answered does not stay
-// refused because of a request that a deadly part was in too.
+// refused because of a request that a poison part was in too.
 func TestDeathIsExplainedByAnotherPart(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	l := quarantine.NewPartList()
-	l.AddDeath(now, "t1", []quarantine.PartID{sound, deadly})
+	l.AddDeath(now, "t1", []quarantine.PartID{sound, poison})
 	is.True(refused(l, now, sound))
-	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{other, deadly})
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{other, poison})
 	is.True(!refused(l, now.Add(time.Second), sound))
 	is.True(!refused(l, now.Add(time.Second), other))
-	is.True(refused(l, now.Add(time.Second), deadly))
+	is.True(refused(l, now.Add(time.Second), poison))
 }
 
 // TestDeathIsExplainedByAnotherRequest guards against refusing the parts of sound requests that waited
-// at the same target as a deadly one.
+// at the same target as a poison part.
 func TestDeathIsExplainedByAnotherRequest(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	l := quarantine.NewPartList()
 	l.AddDeath(now, "t1", []quarantine.PartID{sound})
-	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
+	l.AddDeath(now, "t1", []quarantine.PartID{poison})
 	is.True(refused(l, now, sound)) // nothing tells which of the two it was
 	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{other})
-	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{deadly})
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{poison})
 	is.True(!refused(l, now.Add(time.Second), sound))
 	is.True(!refused(l, now.Add(time.Second), other))
-	is.True(refused(l, now.Add(time.Second), deadly))
+	is.True(refused(l, now.Add(time.Second), poison))
 }
 
 // TestTargetsThatDieTogetherCountOnce guards against quarantining a part for long because several
@@ -108,12 +108,12 @@
 func TestPartRecordsMergeInAnyOrder(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	parts := []quarantine.PartID{sound, deadly, other}
+	parts := []quarantine.PartID{sound, poison, other}
 	var messages [][]quarantine.PartRecord
 	for i := range 4 {
 		l := quarantine.NewPartList()
 		l.Answered(now.Add(-time.Duration(i)*time.Second), []quarantine.PartID{sound})
-		l.AddDeath(now.Add(time.Duration(i)*time.Second), fmt.Sprint("t", i), []quarantine.PartID{parts[i%3], deadly})
+		l.AddDeath(now.Add(time.Duration(i)*time.Second), fmt.Sprint("t", i), []quarantine.PartID{parts[i%3], poison})
 		messages = append(messages, l.Records(now.Add(10*time.Second), parts))
 	}
 	now = now.Add(10 * time.Second)
@@ -123,22 +123,22 @@
 		for _, i := range append(order, order[0]) {
 			l.Merge(now, messages[i])
 		}
-		is.True(refused(l, now, deadly))
+		is.True(refused(l, now, poison))
 		is.True(!refused(l, now, sound))
 		is.True(!refused(l, now, other))
 	}
 }
 
-// TestManyPartsDoNotReleaseSuspect guards against a deadly part that is forgotten because callers
+// TestManyPartsDoNotReleaseSuspect guards against a poison part that is forgotten because callers
 // send many other parts, and against memory that grows with what they send.
 func TestManyPartsDoNotReleaseSuspect(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	l := quarantine.NewPartList()
-	l.AddDeath(now, "t1", []quarantine.PartID{deadly})
+	l.AddDeath(now, "t1", []quarantine.PartID{poison})
 	for i := range 100_000 {
 		l.Answered(now, []quarantine.PartID{quarantine.PartID(1000 + i)})
 	}
-	is.True(refused(l, now, deadly))
+	is.True(refused(l, now, poison))
 	is.True(l.Len() <= 3*8192)
 }
--- a/proofs/poison_test.go
+++ b/proofs/poison_test.go
@@ -89,10 +89,10 @@
 	t.Logf("schedules in which the request killed more than two targets: %v of 20", counts)
 }
 
-// runDeadlyPrefix sends drafts with prompts of their own through all entries. Those of every third
+// runPoisonPrefix sends drafts with prompts of their own through all entries. Those of every third
 // caller begin with a prefix that kills each target that begins to answer it. It returns how many
 // targets were killed, and how many of the sound drafts, and how many were done.
-func runDeadlyPrefix(seed uint64, shareParts bool) (crashes, sound, done int) {
+func runPoisonPrefix(seed uint64, shareParts bool) (crashes, sound, done int) {
 	f := newFleet(fleetConfig{seed: seed, entries: 3, targets: 6, kind: contract.WorkDraft, capacity: 4})
 	f.shareParts = shareParts
 	f.executor.onCrash = func(t *target) {
@@ -103,11 +103,11 @@
 		}()
 	}
 	const drafts = 30
-	const soundPrefix, deadlyPrefix = 1, 2
+	const soundPrefix, poisonPrefix = 1, 2
 	for i := range drafts {
 		body, prefix := fmt.Sprintf("brief %d", i), uint64(soundPrefix)
 		if i%3 == 2 {
-			body, prefix = fmt.Sprintf("%s %d", crashMarker, i), deadlyPrefix
+			body, prefix = fmt.Sprintf("%s %d", crashMarker, i), poisonPrefix
 		}
 		r := dispatch.Request{
 			Organisation: "muscat", Kind: contract.WorkDraft, ServiceName: serviceName, Body: []byte(body), Prefix: prefix,
@@ -130,13 +130,13 @@
 	return f.executor.crashes, sound, done
 }
 
-// TestDeadlyPrefixKillsAtMostTwoTargets guards against drafts that share nothing but the beginning
+// TestPoisonPrefixKillsAtMostTwoTargets guards against drafts that share nothing but the beginning
 // of their prompts, which kills each target that begins to answer it.
-func TestDeadlyPrefixKillsAtMostTwoTargets(t *testing.T) {
+func TestPoisonPrefixKillsAtMostTwoTargets(t *testing.T) {
 	counts := newTally()
 	forSeeds(t, schedules(), func(t *testing.T, seed uint64) {
 		is := is.New(t)
-		crashes, sound, done := runDeadlyPrefix(seed, true)
+		crashes, sound, done := runPoisonPrefix(seed, true)
 		is.True(crashes <= 2)
 		is.Equal(done, sound) // those of the same caller are all served
 		counts.add("targets killed", crashes)
@@ -148,7 +148,7 @@
 func TestUnsharedPartsKillMoreTargets(t *testing.T) {
 	counts := newTally()
 	forSeeds(t, 20, func(_ *testing.T, seed uint64) {
-		if crashes, _, _ := runDeadlyPrefix(seed, false); crashes > 2 {
+		if crashes, _, _ := runPoisonPrefix(seed, false); crashes > 2 {
 			counts.add("more than two", 1)
 		}
 	})
