--- a/parts/quarantine/parts_test.go
+++ b/parts/quarantine/parts_test.go
@@ -142,3 +142,21 @@
 	is.True(refused(l, now, poison))
 	is.True(l.Len() <= 3*8192)
 }
+
+// BenchmarkRequestWithParts measures what the list costs a request with two shared parts, while it
+// holds as many parts as it may and ten of them are suspects.
+func BenchmarkRequestWithParts(b *testing.B) {
+	now := time.Now()
+	l := quarantine.NewPartList()
+	for i := range 16_384 {
+		l.Answered(now, []quarantine.PartID{quarantine.PartID(1000 + i)})
+	}
+	for i := range 10 {
+		l.AddDeath(now, "t1", []quarantine.PartID{quarantine.PartID(i)})
+	}
+	for i := 0; b.Loop(); i++ {
+		parts := []quarantine.PartID{quarantine.PartID(1000 + i%16_384), quarantine.PartID(1000 + 7*i%16_384)}
+		l.Refused(now, parts)
+		l.Answered(now, parts)
+	}
+}
