Keep relating deaths of targets after many cleared ones

Found by reading: the index of parts by death is bounded, and was only cleaned when the list began a new generation. On a fleet with few parts, which never does, it is full after 1,024 deaths; from then on no part explains a death for another, and parts of sound requests stay refused beside a poison part.

Change: a full index drops what was cleared. TestManyDeathsDoNotHideExplanation failed before.

--- a/parts/quarantine/parts.go
+++ b/parts/quarantine/parts.go
@@ -116,6 +116,12 @@
 	for _, id := range withDeaths[:min(len(withDeaths), maxKeptSuspects)] {
 		next[id] = l.previous[id]
 	}
+	l.current, l.previous = next, l.current
+}
+
+// dropClearedDeaths removes from partsByDeath the parts that were cleared, and the incarnations that
+// have no other.
+func (l *PartList) dropClearedDeaths() {
 	for incarnation, parts := range l.partsByDeath {
 		known := slices.DeleteFunc(parts, func(id PartID) bool {
 			s := l.state(id)
@@ -125,7 +131,6 @@
 			delete(l.partsByDeath, incarnation)
 		}
 	}
-	l.current, l.previous = next, l.current
 }
 
 // Answered records that a target answered a request with the parts and lived on. It returns the
@@ -179,7 +184,11 @@
 	if len(s.deaths) > maxPartDeaths {
 		s.deaths = slices.Delete(s.deaths, 0, len(s.deaths)-maxPartDeaths)
 	}
-	if parts, known := l.partsByDeath[d.Incarnation]; known || len(l.partsByDeath) < maxKeptSuspects {
+	parts, known := l.partsByDeath[d.Incarnation]
+	if !known && len(l.partsByDeath) >= maxKeptSuspects {
+		l.dropClearedDeaths()
+	}
+	if known || len(l.partsByDeath) < maxKeptSuspects {
 		l.partsByDeath[d.Incarnation] = append(parts, id)
 	}
 }
--- a/parts/quarantine/parts_test.go
+++ b/parts/quarantine/parts_test.go
@@ -143,6 +143,24 @@
 	is.True(l.Len() <= 3*8192)
 }
 
+// TestManyDeathsDoNotHideExplanation guards against deaths that can't be related to each other any more
+// after a long time with many cleared ones.
+func TestManyDeathsDoNotHideExplanation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := quarantine.NewPartList()
+	for i := range 3000 {
+		l.AddDeath(now, fmt.Sprint("old", i), []quarantine.PartID{sound})
+		now = now.Add(time.Second)
+		l.Answered(now, []quarantine.PartID{sound})
+	}
+	now = now.Add(time.Hour)
+	l.AddDeath(now, "t1", []quarantine.PartID{other, poison})
+	l.AddDeath(now.Add(time.Second), "t2", []quarantine.PartID{poison})
+	is.True(refused(l, now.Add(time.Second), poison))
+	is.True(!refused(l, now.Add(time.Second), other))
+}
+
 // BenchmarkRequestWithParts measures what the list costs a request with two shared parts, while it
 // holds as many parts as it may and ten of them are suspects.
 func BenchmarkRequestWithParts(b *testing.B) {
