--- a/parts/quarantine/parts_test.go
+++ b/parts/quarantine/parts_test.go
@@ -150,6 +150,7 @@
 	now := time.Now()
 	l := quarantine.NewPartList()
 	for i := range 3000 {
+		now = now.Add(time.Second)
 		l.AddDeath(now, fmt.Sprint("old", i), []quarantine.PartID{sound})
 		now = now.Add(time.Second)
 		l.Answered(now, []quarantine.PartID{sound})
