Tell queued callers too when a closed group should be open

Found by reading: the requests that were queued when their group closed, and those that reached the leader before the entries heard of it, were refused with a retry-after of half a second, while the group is closed for about four.

Change: the leader's refusals say when the group should be open, as the entries' do.

TestQueuedRequestReturnsWhenGroupIsOpen fails with the retry-after of the queue.

--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -218,7 +218,7 @@
 		}
 		reply := mesh.SlotResponse{ID: d.ID, Engine: d.Engine, Wait: d.Queued, Moved: d.Moved}
 		if d.Engine == "" && !d.Queued { // the request is refused
-			reply.RetryAfterMS = int(max(d.RetryAt.Sub(now), 0).Milliseconds())
+			reply.RetryAfterMS = int(l.retryIn(now, d).Milliseconds())
 			delete(l.requesterHosts, d.ID)
 		}
 		l.log.Info().Str("request", d.ID).Str("engine", d.Engine).Bool("wait", d.Queued).Bool("moved", d.Moved).Int("return_in_ms", reply.RetryAfterMS).
@@ -227,6 +227,12 @@
 	}
 }
 
+// retryIn returns when a refused request should be retried, which is not before the group should be
+// open.
+func (l *leader) retryIn(now time.Time, d rankscheduler.Decision) time.Duration {
+	return max(d.RetryAt.Sub(now), l.outages.opensIn(now), 0)
+}
+
 // ClaimFence returns the fence of claim number n; later claims have higher numbers. It leaves
 // enough fences below that of the next claim for the switches of this leader.
 func ClaimFence(n int64) mapswitch.Fence {
