--- a/standin/fakeplatform/store.go
+++ b/standin/fakeplatform/store.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +22,8 @@
 type Store struct {
 	mu      sync.Mutex
 	streams map[string]*stream
+	era     int64              // number of restores
+	backup  map[string]*stream // copy that Restore returns to
 }
 
 type stream struct {
@@ -73,8 +76,40 @@
 	return offset
 }
 
-// Routes adds the store's HTTP API to a router.
+// Backup makes the copy of the store to which Restore returns.
+func (s *Store) Backup() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup = cloneStreams(s.streams)
+}
+
+// Restore returns to the copy that Backup made. What was written since is gone, and its offsets are
+// given out again.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams = cloneStreams(s.backup)
+	s.era++
+}
+
+func cloneStreams(streams map[string]*stream) map[string]*stream {
+	clone := map[string]*stream{}
+	for name, st := range streams {
+		clone[name] = &stream{records: slices.Clone(st.records), latestByKey: maps.Clone(st.latestByKey)}
+	}
+	return clone
+}
+
+// Routes adds the store's HTTP API to a router. All responses name the era.
 func (s *Store) Routes(r chi.Router) {
+	r = r.With(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+			s.mu.Unlock()
+			next.ServeHTTP(w, r)
+		})
+	})
 	r.Post("/api/log-append", s.handleAppend)
 	r.Get("/api/log-read", s.handleRead)
 	r.Get("/api/log-newest", s.handleNewest)
@@ -119,6 +154,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(r.URL.Query().Get("topic"))
+	if from > int64(len(st.records)) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	page := binary.BigEndian.AppendUint64(nil, uint64(len(st.records)))
 	page = binary.BigEndian.AppendUint64(page, 0)
 	for _, record := range st.records[min(from, int64(len(st.records))):] {
