A store that comes back from an older copy brings back no targets

Change: the registry remembers the latest 512 removed incarnations. What is written after the listing counts as before.

TestRestoredListingDoesNotGoBack and TestRestoredStoreBringsBackNoTargets failed before.

--- a/entryd/storeview/storeview.go
+++ b/entryd/storeview/storeview.go
@@ -77,6 +77,9 @@
 	ReadTargetRecords func(ctx context.Context, from int64) (Records, error)
 	// ListTargets returns all registered targets and the end of the registry's stream.
 	ListTargets func(ctx context.Context) ([]registry.Target, int64, error)
+	// Era returns how often the store has come back from an older copy, as last seen. Nil means
+	// that it never does.
+	Era func() int64
 	// DecodeTargetRecord parses one registry record. t is nil if the record removes the
 	// target; ok is false if the record cannot be parsed.
 	DecodeTargetRecord func(raw []byte) (id string, t *registry.Target, ok bool)
@@ -104,6 +107,7 @@
 	proof              freshness.Proof // newest confirmed end of the configuration stream, and when the confirming read was sent
 	targets            registry.Registry
 	listed             bool      // the targets have been listed completely at least once
+	listedEra          int64     // era of the store at that listing
 	targetsOffset      int64     // end of the registry's record stream as last applied
 	nextReadAt         time.Time // when Run next reads the store
 	confirmedAt        time.Time // when the registry was last read, by this entry or a peer
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -27,8 +27,12 @@
 	targets []registry.Target
 	removed [][]byte // IDs of removed targets, one per record; removed[i] has offset i+1
 	calls   atomic.Int64
+	era     int64 // number of restores from an older copy
 }
 
+// eraOffset is the difference between the offsets of two eras.
+const eraOffset = 1000
+
 var errStoreDown = errors.New("store unreachable")
 
 // access returns one entry's access to the store. While storeCutOff is set,
@@ -55,11 +59,25 @@
 			s.calls.Add(1)
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if from < eraOffset*s.era {
+				return storeview.Records{Truncated: true}, nil
+			}
+			from -= eraOffset * s.era
+			if s.era > 0 {
+				return storeview.Records{End: eraOffset*s.era + from}, nil
+			}
 			return storeview.Records{Raw: s.removed[from-1:], End: int64(1 + len(s.removed))}, nil
 		},
 		ListTargets: func(context.Context) ([]registry.Target, int64, error) {
 			s.calls.Add(1)
-			return s.targets, 1, nil
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.targets, 1 + eraOffset*s.era, nil
+		},
+		Era: func() int64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.era
 		},
 		DecodeTargetRecord: func(raw []byte) (string, *registry.Target, bool) { return string(raw), nil, true },
 	}
@@ -251,3 +269,22 @@
 	is.Equal(len(f.views[0].Targets().Serving("s")), 1)
 	is.True(eventually(3*time.Second, func() bool { return len(f.views[0].Targets().Serving("s")) == 0 }))
 }
+
+// TestRestoredStoreBringsBackNoTargets guards against targets that left after the copy from which
+// the store came back, and that it lists again.
+func TestRestoredStoreBringsBackNoTargets(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 3)
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("a"))
+	f.store.mu.Unlock()
+	is.True(eventually(5*time.Second, func() bool { return len(f.views[0].Targets().Serving("s")) == 0 }))
+	f.store.mu.Lock()
+	f.store.era++ // the copy still lists the target
+	f.store.mu.Unlock()
+	calls := f.store.calls.Load()
+	is.True(eventually(5*time.Second, func() bool { return f.store.calls.Load() > calls+8 }))
+	for _, v := range f.views {
+		is.Equal(len(v.Targets().Serving("s")), 0)
+	}
+}
--- a/entryd/storeview/targets.go
+++ b/entryd/storeview/targets.go
@@ -40,18 +40,33 @@
 	if err != nil {
 		return Records{}, err
 	}
+	era := v.era()
 	v.mu.Lock()
-	v.targets = v.targets.WithListing(targets, v.graceEnd())
+	restored := v.listed && era != v.listedEra
+	if restored {
+		v.targets = v.targets.WithRestoredListing(targets, v.config.Now().Add(outageGrace))
+	} else {
+		v.targets = v.targets.WithListing(targets, v.graceEnd())
+	}
+	v.listedEra = era
 	v.targetsOffset = end
 	v.targetsDueAt = v.config.Now().Add(maxViewAge)
 	v.listed = true
 	after := v.targets
 	v.mu.Unlock()
-	v.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Msg("targets listed")
+	v.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Int64("era", era).Bool("restored", restored).Msg("targets listed")
 	v.config.OnTargetsChanged(after)
 	return Records{End: end, Truncated: true}, nil
 }
 
+// era returns how often the store has come back from an older copy.
+func (v *View) era() int64 {
+	if v.config.Store.Era == nil {
+		return 0
+	}
+	return v.config.Store.Era()
+}
+
 // graceEnd returns the time until which a target whose registration was removed may
 // register again, or the zero time if the target is to be removed immediately. The target
 // gets this grace if the last read of the registry, here or by a peer, is longer ago than
--- a/parts/registry/registry.go
+++ b/parts/registry/registry.go
@@ -36,8 +36,19 @@
 	// missing holds, by target id, the end of the grace period of targets whose
 	// entries lapsed around an outage.
 	missing map[string]time.Time
+	// removed holds the latest removed incarnations, maxRemoved at most, the oldest first.
+	removed []incarnation
 }
 
+// incarnation identifies one life of a target.
+type incarnation struct {
+	id      string
+	started time.Time
+}
+
+// maxRemoved bounds the removed incarnations that a Registry remembers.
+const maxRemoved = 512
+
 // With returns the registry after the entry of a target was written. It ignores a Ready
 // entry of an incarnation that is already draining: an incarnation never leaves that
 // state, so the entry was written earlier and has arrived late.
@@ -60,6 +71,7 @@
 	}
 	next := r.clone()
 	if graceEnd.IsZero() {
+		next.removed = append(slices.Clone(r.removed[max(len(r.removed)-maxRemoved+1, 0):]), incarnation{id, r.targets[id].Started})
 		delete(next.targets, id)
 		delete(next.missing, id)
 		return next
@@ -89,6 +101,23 @@
 	return next
 }
 
+// WithRestoredListing returns the registry after a full listing of a store that has come back from an
+// older copy. Incarnations that were removed since that copy, or replaced by a later one, don't come
+// back, and targets that are missing in it have until graceEnd to register again.
+func (r Registry) WithRestoredListing(listed []Target, graceEnd time.Time) Registry {
+	var current []Target
+	for _, t := range listed {
+		known, ok := r.targets[t.ID]
+		switch {
+		case ok && known.Started.After(t.Started):
+			current = append(current, known)
+		case ok || !slices.Contains(r.removed, incarnation{t.ID, t.Started}):
+			current = append(current, t)
+		}
+	}
+	return r.WithListing(current, graceEnd)
+}
+
 // WithoutExpired returns the registry at the time now, without the targets whose grace period is
 // over.
 func (r Registry) WithoutExpired(now time.Time) Registry {
@@ -135,7 +164,7 @@
 func (r Registry) Len() int { return len(r.targets) }
 
 func (r Registry) clone() Registry {
-	next := Registry{targets: maps.Clone(r.targets), missing: maps.Clone(r.missing)}
+	next := Registry{targets: maps.Clone(r.targets), missing: maps.Clone(r.missing), removed: r.removed}
 	if next.targets == nil {
 		next.targets = map[string]Target{}
 	}
--- a/parts/registry/registry_test.go
+++ b/parts/registry/registry_test.go
@@ -59,3 +59,40 @@
 	restarted.Started = time.Unix(5, 0) // a new incarnation with the same id may become ready
 	is.Equal(len(r.With(restarted).Serving("s")), 1)
 }
+
+// TestRestoredListingDoesNotGoBack guards against sending requests to targets that have left, drain or
+// have restarted, because the registry came back from an older copy.
+func TestRestoredListingDoesNotGoBack(t *testing.T) {
+	is := is.New(t)
+	started := time.Unix(100, 0)
+	target := func(id string, state registry.State, started time.Time) registry.Target {
+		return registry.Target{ID: id, Service: "s", State: state, Started: started}
+	}
+	var r registry.Registry
+	for _, id := range []string{"left", "drains", "restarted", "stays"} {
+		r = r.With(target(id, registry.Ready, started))
+	}
+	older := []registry.Target{
+		target("left", registry.Ready, started), target("drains", registry.Ready, started),
+		target("restarted", registry.Ready, started), target("stays", registry.Ready, started),
+	}
+	r = r.Without("left", time.Time{}).With(target("drains", registry.Draining, started))
+	r = r.With(target("restarted", registry.Ready, started.Add(time.Second))).With(target("new", registry.Ready, started))
+	graceEnd := started.Add(time.Minute)
+	r = r.WithRestoredListing(older, graceEnd)
+	_, listed := r.Target("left")
+	is.True(!listed)
+	var serving []string
+	for _, s := range r.Serving("s") {
+		serving = append(serving, s.ID)
+	}
+	is.Equal(serving, []string{"new", "restarted", "stays"}) // new has time to register again
+	restarted, _ := r.Target("restarted")
+	is.Equal(restarted.Started, started.Add(time.Second))
+	r = r.WithoutExpired(graceEnd)
+	_, listed = r.Target("new")
+	is.True(!listed)
+	r = r.With(target("left", registry.Ready, started)) // written after the listing
+	_, listed = r.Target("left")
+	is.True(listed)
+}
