--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -157,6 +157,7 @@
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
 		OnTargetsChanged: func(r registry.Registry) { s.relay.PruneTargets(r) },
+		OnRestored:       func() { go s.restoreHosts() },
 	})
 	s.slots = relay.NewSlotClient(relay.SlotClientConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "places")})
 	s.limits = relay.NewLimits(relay.LimitsConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits")})
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -178,3 +179,47 @@
 	is.NoErr(<-stopped)
 	is.True(time.Since(startedAt) < c.StopTimeout)
 }
+
+// TestHostsAreRegisteredAgainAfterRestore guards against hosts that are not listed any more, and that new
+// daemons don't find, after the store has come back from an older copy.
+func TestHostsAreRegisteredAgainAfterRestore(t *testing.T) {
+	is := is.New(t)
+	c := newConfig(t, 0)
+	var mu sync.Mutex
+	registered, era := map[string]bool{}, int64(0)
+	c.Hosts.Register = func(_ context.Context, h mesh.Host) error {
+		mu.Lock()
+		defer mu.Unlock()
+		registered[h.Name] = true
+		return nil
+	}
+	c.Store.Era = func() int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return era
+	}
+	c.Store.ReadTargetRecords = func(_ context.Context, end int64) (storeview.Records, error) {
+		return storeview.Records{End: end, Truncated: true}, nil
+	}
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.NoErr(k.Start(context.Background()))
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	isRegistered := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return registered["e"]
+	}
+	await := func() bool {
+		for i := 0; !isRegistered() && i < 800; i++ {
+			time.Sleep(10 * time.Millisecond)
+		}
+		return isRegistered()
+	}
+	is.True(await())
+	time.Sleep(time.Second) // the targets have been listed
+	mu.Lock()
+	registered, era = map[string]bool{}, 1
+	mu.Unlock()
+	is.True(await())
+}
--- a/entryd/storeview/storeview.go
+++ b/entryd/storeview/storeview.go
@@ -94,6 +94,9 @@
 	Log         zerolog.Logger
 	// OnTargetsChanged is called with each new set of targets.
 	OnTargetsChanged func(r registry.Registry)
+	// OnRestored is called when the store has come back from an older copy, so that what must last
+	// is written again. It must not block; nil does nothing.
+	OnRestored func()
 }
 
 // View is an entry's view of the store. It is safe for concurrent use.
--- a/entryd/storeview/targets.go
+++ b/entryd/storeview/targets.go
@@ -56,6 +56,9 @@
 	v.mu.Unlock()
 	v.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Int64("era", era).Bool("restored", restored).Msg("targets listed")
 	v.config.OnTargetsChanged(after)
+	if restored && v.config.OnRestored != nil {
+		v.config.OnRestored()
+	}
 	return Records{End: end, Truncated: true}, nil
 }
 
