--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -34,6 +34,18 @@
 	return l.Addr().String()
 }
 
+// freeDatagramAddress returns an address for datagrams. A port that is free for connections may be in
+// use for datagrams.
+func freeDatagramAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
 // newConfig returns the configuration of an entry with one target that takes the given
 // time for each request.
 func newConfig(t *testing.T, work time.Duration) frontend.Config {
@@ -55,7 +67,7 @@
 		})
 	}
 	return frontend.Config{
-		Self: mesh.Host{Name: "e", Role: mesh.RoleEntry, Address: freeAddress(t), CallerAddress: callers}, CallersAddress: callers,
+		Self: mesh.Host{Name: "e", Role: mesh.RoleEntry, Address: freeDatagramAddress(t), CallerAddress: callers}, CallersAddress: callers,
 		ReadyAddress: freeAddress(t), DirectoryAddress: freeAddress(t), MetricsAddress: freeAddress(t), NewReadyHandler: status, NewDirectoryHandler: status,
 		RevocationBound: 5 * time.Second, StopTimeout: 6 * time.Second, RetryShare: 0.2, RetryReserve: 10, EntryCount: 1, Log: zerolog.Nop(),
 		Hosts: mesh.Directory{
