Say in the logs how a response of a target ended early

What was missing: "response ended early" gave an error text only. A large plain response that broke off after its first 256 KiB had no line at all.

Change: one line for each broken response, written at the end of the request, with framing, position, how the connection ended, events passed on, bytes, the time, and what the caller got. "request ended" has the framing of the last response. A break after the first 256 KiB is now also counted against its target, as any other is, and gives the reason "answer_broken".

TestLineOfBrokenResponseTellsItsEnd and TestExplanationSaysHowResponseEnded need the new fields.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -149,14 +149,35 @@
 		}
 		reason, _ := l.Fields["reason"].(string)
 		if cause, ok := causeByReason[reason]; ok {
-			return cause
+			return cause + explainBreaks(lines)
 		}
 		status, _ := l.Fields["status"].(float64)
 		const serverErrors = 500
 		if status >= serverErrors {
 			return fmt.Sprintf("target %v itself answered %v", l.Fields["target"], status)
 		}
-		return fmt.Sprintf("answered %v by target %v", status, l.Fields["target"])
+		return fmt.Sprintf("answered %v by target %v", status, l.Fields["target"]) + explainBreaks(lines)
 	}
 	return "it has not ended in these logs"
 }
+
+// explainFraming explains the values of the log field "framing".
+var explainFraming = map[string]string{
+	"length": "with a length", "chunks": "in chunks", "connection": "that ends with its connection",
+}
+
+// explainBreaks describes the last response of a target that ended early, or returns "" if there was
+// none or its line is of a build that did not log the framing.
+func explainBreaks(lines []Line) string {
+	for _, l := range slices.Backward(lines) {
+		framing, ok := l.Fields["framing"].(string)
+		if l.Message != "response ended early" || !ok {
+			continue
+		}
+		position, _ := l.Fields["position"].(string)
+		got, _ := l.Fields["caller_got"].(string)
+		return fmt.Sprintf("; a response %s of target %v ended early, %s, by %v, after %v events to the caller, who got a %s response in the end",
+			explainFraming[framing], l.Fields["target"], strings.ReplaceAll(position, "_", " "), l.Fields["ended_by"], l.Fields["events"], strings.ReplaceAll(got, "_", "-"))
+	}
+	return ""
+}
--- a/camphormill/explain/explain_test.go
+++ b/camphormill/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -27,6 +28,25 @@
 	is.True(strings.Contains(out.String(), "verdict: a target got it and its answer was lost; it may have run"))
 }
 
+// TestExplanationSaysHowResponseEnded guards against a verdict that doesn't tell a response that its
+// target broke off from one that was complete.
+func TestExplanationSaysHowResponseEnded(t *testing.T) {
+	is := is.New(t)
+	const log = `{"level":"info","daemon":"e1","part":"relay","request":"d1","target":"t1","framing":"connection","position":"inside_event","ended_by":"close","events":3,"bytes":8,"after":201.5,"caller_got":"%s","error":"unexpected EOF","time":"2026-06-01T00:00:01Z","message":"response ended early"}
+{"level":"warn","daemon":"e1","part":"relay","request":"d1","target":"t2","attempts":2,"status":200,"events":9,"framing":"chunks","reason":"%s","time":"2026-06-01T00:00:01Z","message":"request ended"}
+`
+	for _, test := range []struct{ got, reason, verdict string }{
+		{"cut_off", "stream_broken", "its stream broke off and could not be resumed; a response that ends with its connection of target t1 ended early, inside event, by close, after 3 events to the caller, who got a cut-off response in the end"},
+		{"whole", "", "answered 200 by target t2; a response that ends with its connection of target t1 ended early, inside event, by close, after 3 events to the caller, who got a whole response in the end"},
+	} {
+		lines, _, err := explain.Read(strings.NewReader(fmt.Sprintf(log, test.got, test.reason)), "d1")
+		is.NoErr(err)
+		var out strings.Builder
+		is.NoErr(explain.WriteReport(&out, "d1", lines))
+		is.True(strings.Contains(out.String(), "verdict: "+test.verdict))
+	}
+}
+
 func TestNoLinesOfRequest(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -136,12 +136,13 @@
 // the server error only if the caller gets no response from the other attempt.
 func (rl *Relay) relayResponse(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer) result {
 	c.mayHaveRun = true
+	c.framing = a.Framing()
 	if c.route.Repeat == routes.Stream && a.StatusCode < http.StatusMultipleChoices && isEventStream(a.Header) {
 		return rl.relayEvents(ctx, c, t, a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err != nil {
-		return rl.handleCutOff(ctx, c, t, err)
+		return rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(body)), err))
 	}
 	if a.StatusCode >= http.StatusInternalServerError {
 		rl.loads.recordServerError(rl.config.Now(), t.ID)
@@ -165,7 +166,7 @@
 	}
 	rl.copyHeader(c, a)
 	if int64(len(body)) == maxBufferedBody {
-		return rl.relayRest(c, t, a, body)
+		return rl.relayRest(ctx, c, t, a, body)
 	}
 	if a.ContentLength < 0 && a.Request != nil && a.Request.Method != http.MethodHead {
 		c.writer.Header().Set("Content-Length", itoa(len(body)))
@@ -178,14 +179,19 @@
 
 // relayRest sends a response that is larger than maxBufferedBody, beginning with the part
 // read so far. It cuts off a response that is larger than maxResponseBody.
-func (rl *Relay) relayRest(c *call, t registry.Target, a *httpclient.Answer, prefix []byte) result {
+func (rl *Relay) relayRest(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, prefix []byte) result {
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
 	if _, err := c.writer.Write(prefix); err != nil {
 		return result{answered: true, broken: true}
 	}
 	rest := int64(maxResponseBody - len(prefix))
-	n, err := io.Copy(c.writer, io.LimitReader(a.Body, rest+1))
+	body := &readErrorRecorder{source: io.LimitReader(a.Body, rest+1)}
+	n, err := io.Copy(c.writer, body)
+	if body.err != nil {
+		r := rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(prefix))+n, body.err))
+		c.outcome.Reason = r.refusal.reason
+	}
 	if n > rest {
 		rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("target", t.ID).Int("limit_bytes", maxResponseBody).Msg("response exceeds the size limit; cutting it off")
 		rl.loads.recordFailure(rl.config.Now(), t.ID, true)
@@ -194,13 +200,32 @@
 	return result{answered: true, broken: err != nil || n > rest}
 }
 
+// readErrorRecorder is a reader that records an error of its source.
+type readErrorRecorder struct {
+	source io.Reader
+	err    error // nil at a regular end
+}
+
+// Read reads from the source.
+func (r *readErrorRecorder) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // handleCutOff records a response that ended early, and returns what it means for the
 // request.
-func (rl *Relay) handleCutOff(ctx context.Context, c *call, t registry.Target, err error) result {
+func (rl *Relay) handleCutOff(ctx context.Context, c *call, t registry.Target, b responseBreak) result {
 	if wasMoved(ctx) {
 		return result{moved: true, sent: true, mayHaveRun: true, refusal: refusal{status: http.StatusBadGateway, reason: "answer_broken"}}
 	}
-	rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", t.ID).Err(err).Msg("response ended early")
+	b.targetID, b.events, b.after = t.ID, c.events, rl.config.Now().Sub(c.startedAt)
+	if ctx.Err() != nil && c.request.Context().Err() != nil {
+		b.endedBy = endedByCaller
+	}
+	c.breaks = append(c.breaks, b)
 	if !rl.ended(ctx, c) {
 		rl.loads.recordFailure(rl.config.Now(), t.ID, true)
 		rl.strikeIfDead(c, t)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -158,7 +158,9 @@
 	mayHaveRun    bool      // a target may have run the request
 	failedTargets []string  // IDs of targets that should not be selected again
 	outcome       Outcome
-	targetID      string // ID of the target of the latest attempt
+	targetID      string             // ID of the target of the latest attempt
+	framing       httpclient.Framing // of the latest response; empty if there was none
+	breaks        []responseBreak    // responses that ended early, in order
 }
 
 // ServeHTTP relays one request. It aborts the connection when the response ended early.
@@ -368,6 +370,7 @@
 		c.outcome.TimeToFirstByte = c.firstByteAt.Sub(c.startedAt)
 	}
 	callerGone := c.request.Context().Err() != nil
+	rl.logBreaks(c, broken)
 	event := rl.config.Log.Info()
 	if c.outcome.Reason != "" || broken {
 		event = rl.config.Log.Warn()
@@ -379,7 +382,7 @@
 	age, _ := rl.config.View.ProofAge()
 	event.Str("request", c.info.AttemptID).Str("organisation", c.outcome.Organisation).Str("route", c.outcome.Route).
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
-		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).
+		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Str("framing", string(c.framing)).
 		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).Dur("sent", sentAfter).
 		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -78,6 +78,7 @@
 	runs      []string        // target and request ID of each run
 	seen      []*http.Request // the requests that the targets ran
 
+	logs      logBuffer
 	addresses []string // of the targets
 	mesh      *mesh.Mesh
 	slots     *relay.SlotClient
@@ -105,6 +106,12 @@
 }
 
 func startWith(t *testing.T, route routes.Route, service routes.Service, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
+	t.Helper()
+	return startConfigured(t, route, service, func(*relay.Config) {}, handlers...)
+}
+
+// startConfigured is startWith for a relay whose configuration differs from that of other tests.
+func startConfigured(t *testing.T, route routes.Route, service routes.Service, configure func(c *relay.Config), handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
 	t.Helper()
 	is := is.New(t)
 	e := &entry{}
@@ -159,13 +166,15 @@
 		Store: store, Mesh: m, SteadyClock: freshness.Now, Now: time.Now, Log: zerolog.Nop(),
 		OnTargetsChanged: func(r registry.Registry) { e.relay.PruneTargets(r) },
 	})
-	e.relay = relay.New(relay.Config{
+	config := relay.Config{
 		Zone: "z", Protocol: testProtocol(), View: view, Now: time.Now, MaxProofAge: maxProofAge, RetryShare: 0.2, RetryReserve: 5,
 		Slots:    e.slots,
 		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now}),
-		OnStrike: func(quarantine.Strike) {}, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.Nop(),
-	})
+		OnStrike: func(quarantine.Strike) {}, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
+	}
+	configure(&config)
+	e.relay = relay.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go m.Run(ctx)
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -32,7 +32,7 @@
 			return rl.finishEvents(c, a)
 		}
 		if err != nil {
-			return rl.handleBrokenStream(ctx, c, t, err)
+			return rl.handleBrokenStream(ctx, c, t, a, len(event), err)
 		}
 		if !c.headSent {
 			rl.copyHeader(c, a) // also sets headSent
@@ -73,9 +73,10 @@
 // handleBrokenStream handles a stream that its target ended early. If the response header
 // has been sent and the stream cannot be resumed, the response is cut off: the events of
 // another run of the request must not be appended to those already sent. A stream can be
-// resumed if its route allows it and an event with an ID has been sent.
-func (rl *Relay) handleBrokenStream(ctx context.Context, c *call, t registry.Target, err error) result {
-	r := rl.handleCutOff(ctx, c, t, err)
+// resumed if its route allows it and an event with an ID has been sent. partial is the number of bytes
+// of the event in which the stream ended.
+func (rl *Relay) handleBrokenStream(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, partial int, err error) result {
+	r := rl.handleCutOff(ctx, c, t, newStreamBreak(c, a, partial, err))
 	r.refusal.reason = "stream_broken"
 	if c.headSent && (!c.route.Resumable || c.lastEventID == "") {
 		c.outcome.Reason = r.refusal.reason
@@ -86,23 +87,23 @@
 
 // readEvent reads up to the blank line that ends an event. At the end of the stream, the error is
 // io.EOF. A stream that ends inside an event has been broken off, also where the end of its
-// connection is its regular end; the bytes of that event are dropped. An event of more than
-// maxEventBytes is an error.
+// connection is its regular end. An event of more than maxEventBytes is an error. With an error, the
+// bytes are those of an event that is not complete.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		if len(event) > maxEventBytes {
-			return nil, errors.New("event of the target's stream exceeds the size limit; the target must send smaller events")
+			return event, errors.New("event of the target's stream exceeds the size limit; the target must send smaller events")
 		}
 		switch {
 		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(event) > 0:
-			return nil, io.ErrUnexpectedEOF
+			return event, io.ErrUnexpectedEOF
 		case err != nil:
-			return nil, err
+			return event, err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, nil
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -237,14 +237,34 @@
 // Close does nothing: Answer.Close ends the exchange.
 func (b *trackedBody) Close() error { return nil }
 
+// Framing names what marks the end of a response's body.
+type Framing string
+
+// The framings of responses.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // the body ends with its connection
+)
+
+// Framing returns how the response's body is framed.
+func (a *Answer) Framing() Framing {
+	switch {
+	case len(a.TransferEncoding) > 0:
+		return FramedByChunks
+	case a.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByConnection
+}
+
 // Close ends the exchange. It returns the connection to the pool if the body was
 // read to its end and the connection can carry another request, and closes it
 // otherwise. The connection cannot be reused after an error or a cancellation, if the
 // target asked to close it, or if the body was delimited only by the connection's end.
 func (a *Answer) Close() {
 	notCancelled := a.stop()
-	delimited := a.ContentLength >= 0 || len(a.TransferEncoding) > 0
-	reusable := notCancelled && a.complete && !a.failed && !a.Response.Close && delimited
+	reusable := notCancelled && a.complete && !a.failed && !a.Response.Close && a.Framing() != FramedByConnection
 	if !reusable || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
