Treat a stream that ends with its connection before any event as broken off

Callers saw: a target sends the head of a stream without length or chunks, breaks off, and closes its connection. The caller got 200 and an empty body with a regular end: a draft without a word, as if that were the answer.

Cause: the end of such a connection is its regular end, and without a single event there was nothing from which the relay could tell a broken stream from a complete one. It took the second.

Ruled out: streams with a length or chunks; an empty one of these is complete and stays so (same test).

Change: without any framing, a stream of no events has been broken off. It is sent to another target where the route allows it; otherwise the caller gets 502, since no byte has been passed on.

Why it works: a run that ended well has at least one event, so nothing whole is lost by it.

--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -108,3 +108,26 @@
 	_, _, _, err = e.call(t, http.MethodPost, "/r/x", "key")
 	is.True(err != nil)
 }
+
+// TestEmptyStreamThatEndsWithConnectionIsBroken guards against the head of a broken stream that is passed on
+// as a complete stream without events.
+func TestEmptyStreamThatEndsWithConnectionIsBroken(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, test := range []struct {
+		response string
+		status   int
+	}{
+		{head + "\r\n", http.StatusBadGateway},
+		{head + "Content-Length: 0\r\n\r\n", http.StatusOK},
+		{head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusOK},
+	} {
+		e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 2, Timeout: 2 * time.Second}, respondRaw("t0", func(conn net.Conn, _ string) {
+			_, _ = io.WriteString(conn, test.response)
+		}))
+		status, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.NoErr(err)
+		is.Equal(status, test.status)
+		is.Equal(body, "")
+	}
+}
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -28,6 +28,9 @@
 	reader := bufio.NewReaderSize(a.Body, 4<<10)
 	for {
 		event, err := readEvent(reader)
+		if err == io.EOF && c.attemptEvents == 0 && a.Framing() == httpclient.FramedByConnection {
+			err = io.ErrUnexpectedEOF // without events or a framing, nothing tells a complete stream from a broken one
+		}
 		if err == io.EOF {
 			return rl.finishEvents(c, a)
 		}
