Don't split an event after a line that fills the read buffer

Callers saw: an event with a line of exactly 4,096 bytes (or a multiple) was passed on in two parts. When the target broke off between them, the resumed stream went on after this event, and the rest of it was missing; with a stream that ends with its connection, a break there gave a regular end inside an event.

Cause: readEvent gets such a line in parts, and the part after a full buffer is the line's end alone. It took that for the blank line that ends an event.

Change: the blank line is looked for in the whole line.

Before: TestEventWithLineOfBufferSizeIsNotSplit gets "id: 1, data: xxx, blank, id: 2" where a second data line was due. After: whole, for each framing.

--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -131,3 +131,21 @@
 		is.Equal(body, "")
 	}
 }
+
+// TestEventWithLineOfBufferSizeIsNotSplit guards against an event that is passed on in two parts, and
+// resumed after the first, because one of its lines fills the reader's buffer exactly.
+func TestEventWithLineOfBufferSizeIsNotSplit(t *testing.T) {
+	is := is.New(t)
+	for _, buffer := range []int{2 << 10, 4 << 10, 8 << 10} {
+		first := "id: 1\ndata: " + strings.Repeat("x", buffer-len("data: ")) + "\n"
+		events := []string{first + "data: end\n\n", "id: 2\ndata: b\n\n"}
+		fleet := startFramingFleet(t, streamRoute(2))
+		for _, framing := range []string{byLength, byChunks, byConnection} {
+			id := fleet.newID()
+			raw := newRawResponse(framing, id, "text/event-stream", events)
+			got := fleet.call(t, id, "HTTP/1.1", cutResponse{rawResponse: raw, cut: raw.cutAfter(len(first)), ending: endClose}, events)
+			is.NoErr(got.err)
+			is.Equal(got.body, strings.Join(events, ""))
+		}
+	}
+}
--- a/entryd/relay/framing_test.go
+++ b/entryd/relay/framing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,6 +87,9 @@
 	return r.received[cut-1]
 }
 
+// cutAfter returns how many bytes hold the first bytes of the body.
+func (r *rawResponse) cutAfter(bodyBytes int) int { return slices.Index(r.received, bodyBytes) + 1 }
+
 // cutResponse is a response of which the target sends only the first bytes.
 type cutResponse struct {
 	*rawResponse
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -94,9 +94,10 @@
 // bytes are those of an event that is not complete.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	lineStart := 0 // index in event
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n') // a line that exceeds the buffer comes in parts
+		event = append(event, part...)
 		if len(event) > maxEventBytes {
 			return event, errors.New("event of the target's stream exceeds the size limit; the target must send smaller events")
 		}
@@ -108,9 +109,10 @@
 		case err != nil:
 			return event, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
 			return event, nil
 		}
+		lineStart = len(event)
 	}
 }
 
