Don't resume a stream after events without an ID

Callers saw: a target that broke off after events without an ID was resumed after the last event that had one, and the caller got the events in between twice. A stream without any ID that its leader moved to another engine was cut off, although its target was well.

Cause: the relay remembers the last ID that it passed on, and not whether more has been passed on since. A move cancels an attempt without asking whether the stream can go on elsewhere.

Change: an event that carries data but no ID makes the stream one that can't be resumed, until the next ID. Such a stream is cut off if its target breaks off, and isn't moved. Comments change nothing, and a stream of which only comments have been passed on starts anew at another target.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if rl.movable(c) {
-		rl.config.Slots.setCancel(grant, func() bool { return rl.cancelForMove(c.service.Name, cancel) })
+		rl.config.Slots.setCancel(grant, func() bool { return !c.unresumable.Load() && rl.cancelForMove(c.service.Name, cancel) })
 	}
 	rl.loads.requestStarted(t.ID)
 	defer rl.loads.requestEnded(t.ID)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -148,10 +149,13 @@
 	parts         []quarantine.PartID // shared parts of the prompt
 	routesVersion int64
 
-	writer        http.ResponseWriter
-	headSent      bool // the response header has been sent
-	firstByteAt   time.Time
-	lastEventID   string    // ID of the last event sent to the caller
+	writer      http.ResponseWriter
+	headSent    bool // the response header has been sent
+	firstByteAt time.Time
+	lastEventID string // ID of the last event with an ID that was sent to the caller
+	// unresumable is set if events without an ID have been sent to the caller after it. It is also
+	// read by moves of the request.
+	unresumable   atomic.Bool
 	events        int       // number of events sent to the caller
 	attemptEvents int       // those of the latest attempt
 	sentAt        time.Time // when the latest attempt was sent; zero if there was none
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -57,6 +57,9 @@
 		}
 		if id, ok := eventID(event); ok {
 			c.lastEventID = id
+			c.unresumable.Store(false)
+		} else if hasData(event) {
+			c.unresumable.Store(true)
 		}
 	}
 }
@@ -76,12 +79,12 @@
 // handleBrokenStream handles a stream that its target ended early. If the response header
 // has been sent and the stream cannot be resumed, the response is cut off: the events of
 // another run of the request must not be appended to those already sent. A stream can be
-// resumed if its route allows it and an event with an ID has been sent. partial is the number of bytes
+// resumed if its route allows it and the last event that was sent has an ID. partial is the number of bytes
 // of the event in which the stream ended.
 func (rl *Relay) handleBrokenStream(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, partial int, err error) result {
 	r := rl.handleCutOff(ctx, c, t, newStreamBreak(c, a, partial, err))
 	r.refusal.reason = "stream_broken"
-	if c.headSent && (!c.route.Resumable || c.lastEventID == "") {
+	if c.headSent && (!c.route.Resumable || c.unresumable.Load()) {
 		c.outcome.Reason = r.refusal.reason
 		return result{answered: true, broken: true}
 	}
@@ -125,3 +128,14 @@
 	}
 	return "", false
 }
+
+// hasData reports whether an event holds a part of the stream. Others, such as comments that keep a
+// connection open, may come any number of times.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if field, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":")); string(field) == "data" {
+			return true
+		}
+	}
+	return false
+}
