Cut off a resumed stream whose target starts it again

Callers saw: a resumed stream whose second target ignores after which event to go on gave them events twice, from two runs, with a regular end.

Cause: the relay passes on whatever the resumed attempt sends.

Change: the first ID of a resumed attempt must be after the last one that was passed on; other events of it count as a broken response, so that another target is tried or the caller sees the stream cut off. IDs that are no numbers are only compared for equality.

Ruled out: dropping the events up to the last ID. The target has begun a run of its own, whose later events need not go on from the words that the caller has.

Before: TestResumedStreamThatStartsAgainIsCutOff gets a regular end with events 8 and 9 twice. After: cut off after what was whole; a stream that goes on at 10, or at an ID that is no number, reaches the caller whole.

--- a/entryd/relay/resume_test.go
+++ b/entryd/relay/resume_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -60,6 +61,29 @@
 	is.Equal(body, withComment+"data: b\n\nid: 3\ndata: c\n\n")
 }
 
+// TestResumedStreamThatStartsAgainIsCutOff guards against a caller who gets events twice because the
+// target of a resumed stream ignores where to go on.
+func TestResumedStreamThatStartsAgainIsCutOff(t *testing.T) {
+	is := is.New(t)
+	const sent, comment = "id: 8\ndata: a\n\nid: 9\ndata: b\n\n", ": resumed\n\n"
+	for _, resumedAt := range []string{"8", "9", "10", "next"} {
+		second := func(e *entry, w http.ResponseWriter, r *http.Request) {
+			e.recordRun("second", r)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprintf(w, "%sid: %s\ndata: c\n\n", comment, resumedAt)
+		}
+		body, runs, err := callUntilFirst(t, streamRoute(2), sendAndBreak("first", sent), second)
+		is.Equal(len(runs), 2)
+		if resumedAt == "8" || resumedAt == "9" {
+			is.True(err != nil)
+			is.Equal(body, sent+comment)
+			continue
+		}
+		is.NoErr(err)
+		is.Equal(body, sent+comment+"id: "+resumedAt+"\ndata: c\n\n")
+	}
+}
+
 // TestStreamWithoutIDsIsNotMoved guards against a stream that its entry cancels for a move, and then
 // can't resume.
 func TestStreamWithoutIDsIsNotMoved(t *testing.T) {
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -26,8 +26,16 @@
 func (rl *Relay) relayEvents(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer) result {
 	controller := http.NewResponseController(c.writer)
 	reader := bufio.NewReaderSize(a.Body, 4<<10)
+	resumed := c.lastEventID == "" // the attempt goes on after the last event that was sent
 	for {
 		event, err := readEvent(reader)
+		id, hasID := eventID(event)
+		if err == nil && hasID && !resumed {
+			if startsAgain(id, c.lastEventID) {
+				err = errStartedAgain
+			}
+			resumed = true
+		}
 		if err == io.EOF && c.attemptEvents == 0 && a.Framing() == httpclient.FramedByConnection {
 			err = io.ErrUnexpectedEOF // without events or a framing, nothing tells a complete stream from a broken one
 		}
@@ -55,7 +63,7 @@
 		if c.attemptEvents++; c.attemptEvents == answeredEvents {
 			rl.recordAnswered(c)
 		}
-		if id, ok := eventID(event); ok {
+		if hasID {
 			c.lastEventID = id
 			c.unresumable.Store(false)
 		} else if hasData(event) {
@@ -64,6 +72,20 @@
 	}
 }
 
+// errStartedAgain reports a resumed stream whose target ignores which event was the last one.
+var errStartedAgain = errors.New("target resumed the stream at an event that the caller has got; check that it heeds the last event's ID")
+
+// startsAgain reports whether the first ID of a resumed stream is not after the last one that was sent.
+// Of IDs that are no numbers it knows only whether they are the same.
+func startsAgain(firstID, lastID string) bool {
+	first, err := strconv.ParseUint(firstID, 10, 64)
+	last, lastErr := strconv.ParseUint(lastID, 10, 64)
+	if err != nil || lastErr != nil {
+		return firstID == lastID
+	}
+	return first <= last
+}
+
 // finishEvents ends a complete stream. The header of a stream without events is still to
 // be sent.
 func (rl *Relay) finishEvents(c *call, a *httpclient.Answer) result {
