Don't take a reset during the request for the end of the response

Callers saw: nothing yet; found by looking for the same cause. A target that answers a long request before it has read it, without length or chunks, and is reset midway, gives a short response with a regular end.

Cause: the entry writes the request, then reads the response, also after a failed write. The kernel reports a reset once, to the write; reading then returns the bytes that had come, and after them the end of the connection as if the target had closed it. That is the regular end of a response without framing.

Change: after a failed write such a response is never complete. One with a length or chunks is as before.

Before: TestResetWhileRequestIsSentIsNotResponseEnd reads "the first part" without an error, in 5 of 5 runs. After: an unexpected end.

--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -222,9 +222,13 @@
 	body   io.ReadCloser
 }
 
-// Read reads the body and records its end or an error.
+// Read reads the body and records its end or an error. If writing the request failed, the end of the
+// connection does not end the body: a reset that the write has reported is read as a close.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if err == io.EOF && b.answer.failed && b.answer.Framing() == FramedByConnection {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err == io.EOF:
 		b.answer.complete = true
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -238,3 +238,36 @@
 	_, err = fetch(t, newClient(), newRequest(respondUntilEnd(true), "a"))
 	is.True(err != nil)
 }
+
+// TestResetWhileRequestIsSentIsNotResponseEnd guards against a response without length or chunks that is
+// reset while the request is still being sent: the failed write takes the error of the connection, after
+// which reading it ends as if the target had closed it.
+func TestResetWhileRequestIsSentIsNotResponseEnd(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(conn, make([]byte, 4<<10))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nthe first part")
+			time.Sleep(20 * time.Millisecond) // the reset must not overtake the response
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	client := httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now})
+	const bodyBytes = 32 << 20 // more than the buffers of the connection hold
+	request, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/", strings.NewReader(strings.Repeat("x", bodyBytes)))
+	is.NoErr(err)
+	answer, err := client.Do(t.Context(), httpclient.Request{Address: listener.Addr().String(), HTTP: request, Deadline: time.Now().Add(5 * time.Second)})
+	is.NoErr(err)
+	defer answer.Close()
+	body, err := io.ReadAll(answer.Body)
+	is.Equal(string(body), "the first part")
+	is.True(err != nil)
+}
