Don't take the response to a HEAD request for a broken stream

Cause: the response to HEAD has no body, but by its headers alone it looks like one that ends with its connection.

Change: the framing of a response to HEAD is a known length.

Before: TestHeadOfStreamIsComplete gets 502.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -168,7 +168,7 @@
 	if int64(len(body)) == maxBufferedBody {
 		return rl.relayRest(ctx, c, t, a, body)
 	}
-	if a.ContentLength < 0 && a.Request != nil && a.Request.Method != http.MethodHead {
+	if a.ContentLength < 0 && a.Framing() != httpclient.FramedByLength {
 		c.writer.Header().Set("Content-Length", itoa(len(body)))
 	}
 	c.writer.WriteHeader(a.StatusCode)
--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -149,3 +149,15 @@
 		}
 	}
 }
+
+// TestHeadOfStreamIsComplete guards against the response to a HEAD request, which never has a body, that is
+// taken for a broken stream.
+func TestHeadOfStreamIsComplete(t *testing.T) {
+	is := is.New(t)
+	e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 2, Timeout: 2 * time.Second}, respondRaw("t0", func(conn net.Conn, _ string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+	}))
+	status, _, _, err := e.call(t, http.MethodHead, "/r/x", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -251,9 +251,12 @@
 	FramedByConnection Framing = "connection" // the body ends with its connection
 )
 
-// Framing returns how the response's body is framed.
+// Framing returns how the response's body is framed. The response to a HEAD request has none, whose
+// length is known.
 func (a *Answer) Framing() Framing {
 	switch {
+	case a.Request != nil && a.Request.Method == http.MethodHead:
+		return FramedByLength
 	case len(a.TransferEncoding) > 0:
 		return FramedByChunks
 	case a.ContentLength >= 0:
