See a broken event stream on any route and in any spelling of its type

Callers saw: an event stream on a route that is not for streams, or whose content type is written in capitals, ended inside an event with its connection and looked complete.

Cause: only responses on routes for streams, and with the type in lower case, are read event by event. Others pass as a body whose end says nothing.

Change: the content type is compared without case. A body that is an event stream must end after a blank line, and without any byte and without framing it is broken, as on routes for streams.

Ruled out: reading all event streams event by event. A call that may be repeated is retried while nothing of its response has been passed on, and that would be lost.

Before: TestEventStreamIsBrokenOnAnyRoute fails in its first row. After: all rows, small and above 256 KiB.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -141,6 +142,9 @@
 		return rl.relayEvents(ctx, c, t, a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
+	if err == nil && len(body) < maxBufferedBody {
+		err = checkLastEvent(a, body)
+	}
 	if err != nil {
 		return rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(body)), err))
 	}
@@ -186,8 +190,12 @@
 		return result{answered: true, broken: true}
 	}
 	rest := int64(maxResponseBody - len(prefix))
-	body := &readErrorRecorder{source: io.LimitReader(a.Body, rest+1)}
+	body := &bodyReader{source: io.LimitReader(a.Body, rest+1), last: prefix[len(prefix)-lastBytes:]}
 	n, err := io.Copy(c.writer, body)
+	if body.err == nil && err == nil && n <= rest {
+		body.err = checkLastEvent(a, body.last)
+		err = body.err
+	}
 	if body.err != nil {
 		r := rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(prefix))+n, body.err))
 		c.outcome.Reason = r.refusal.reason
@@ -200,18 +208,24 @@
 	return result{answered: true, broken: err != nil || n > rest}
 }
 
-// readErrorRecorder is a reader that records an error of its source.
-type readErrorRecorder struct {
+// lastBytes is how much of a body bodyReader keeps, enough for the end of an event.
+const lastBytes = len("\r\n\r\n")
+
+// bodyReader reads the rest of a body. It records an error of its source and the last bytes of the body.
+type bodyReader struct {
 	source io.Reader
 	err    error // nil at a regular end
+	last   []byte
 }
 
 // Read reads from the source.
-func (r *readErrorRecorder) Read(p []byte) (int, error) {
+func (r *bodyReader) Read(p []byte) (int, error) {
 	n, err := r.source.Read(p)
 	if err != io.EOF {
 		r.err = err
 	}
+	last := append(slices.Clone(r.last), p[max(0, n-lastBytes):n]...)
+	r.last = last[max(0, len(last)-lastBytes):]
 	return n, err
 }
 
@@ -260,5 +274,6 @@
 }
 
 func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -161,3 +161,36 @@
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
 }
+
+// TestEventStreamIsBrokenOnAnyRoute guards against an event stream that ends inside an event and looks
+// complete, because its route is none for streams or its content type is spelled in capitals.
+func TestEventStreamIsBrokenOnAnyRoute(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("id: 1\ndata: "+strings.Repeat("x", 1000)+"\n\n", 300)
+	for _, repeat := range []routes.RepeatPolicy{routes.AtMostOnce, routes.Idempotent, routes.Stream} {
+		for _, contentType := range []string{"text/event-stream", "Text/Event-Stream; charset=UTF-8"} {
+			for _, test := range []struct {
+				body   string
+				broken bool
+			}{
+				{"", true},
+				{"id: 1\ndata: a\n", true},
+				{"id: 1\ndata: a\n\nid: 2\n", true},
+				{"id: 1\ndata: a\n\n", false},
+				{"id: 1\r\ndata: a\r\n\r\n", false},
+				{large, false},
+				{large + "id: 2", true},
+				{large + "\n", false},
+			} {
+				e := start(t, routes.Route{Repeat: repeat, MaxAttempts: 1, Timeout: 2 * time.Second}, respondRaw("t0", func(conn net.Conn, _ string) {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n%s", contentType, test.body)
+				}))
+				status, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+				is.Equal(err != nil || status != http.StatusOK, test.broken)
+				if !test.broken {
+					is.Equal(body, test.body)
+				}
+			}
+		}
+	}
+}
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -86,6 +86,20 @@
 	return first <= last
 }
 
+// checkLastEvent returns an error if a body that has ended regularly is an event stream that was broken
+// off. last are the last bytes of the body.
+func checkLastEvent(a *httpclient.Answer, last []byte) error {
+	if !isEventStream(a.Header) || (len(last) == 0 && a.Framing() != httpclient.FramedByConnection) {
+		return nil
+	}
+	line, ended := bytes.CutSuffix(last, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if !ended || (len(line) > 0 && line[len(line)-1] != '\n') {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // finishEvents ends a complete stream. The header of a stream without events is still to
 // be sent.
 func (rl *Relay) finishEvents(c *call, a *httpclient.Answer) result {
