A response that ends because its target dies isn't complete

A target process that dies closes its connections. For a response without length or chunks that is its regular end, and because a target writes whole events, it mostly falls between two of them: the caller got the first part of a draft, or of a confirmation, as the whole.

Cause: nothing in such a response says that more should follow, and nothing else was asked.

Change: when such a response ends, the entry opens a connection to its target. If it is refused, and the target was ready and had not said that it leaves, the response has been broken off: a stream is resumed or cut off, another response ends in 502 or is cut off. The opened connection is kept for the next request, which needs a new one anyway.

Why it works: a target that leaves completes its responses first and says so before; one that is refused without that has died within the time that one connection takes.

Ruled out: resuming each such stream at its end, which repeats prompts for responses that are whole; length hints, which are estimates.

Before: TestResponseOfDyingTargetIsBroken gives a regular end in its first row, a stream. After: all rows; responses with a length and those of leaving targets stay complete.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -143,7 +143,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	if err == nil && len(body) < maxBufferedBody {
-		err = checkLastEvent(a, body)
+		err = rl.checkEnd(ctx, t, a, body)
 	}
 	if err != nil {
 		return rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(body)), err))
@@ -193,7 +193,7 @@
 	body := &bodyReader{source: io.LimitReader(a.Body, rest+1), last: prefix[len(prefix)-lastBytes:]}
 	n, err := io.Copy(c.writer, body)
 	if body.err == nil && err == nil && n <= rest {
-		body.err = checkLastEvent(a, body.last)
+		body.err = rl.checkEnd(ctx, t, a, body.last)
 		err = body.err
 	}
 	if body.err != nil {
@@ -208,6 +208,18 @@
 	return result{answered: true, broken: err != nil || n > rest}
 }
 
+// checkEnd returns an error if a body that has ended regularly was broken off all the same. last are the
+// last bytes of the body.
+func (rl *Relay) checkEnd(ctx context.Context, t registry.Target, a *httpclient.Answer, last []byte) error {
+	if err := checkLastEvent(a, last); err != nil {
+		return err
+	}
+	if rl.diedAtEnd(ctx, t, a) {
+		return errDiedAtEnd
+	}
+	return nil
+}
+
 // lastBytes is how much of a body bodyReader keeps, enough for the end of an event.
 const lastBytes = len("\r\n\r\n")
 
--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -194,3 +194,43 @@
 		}
 	}
 }
+
+// TestResponseOfDyingTargetIsBroken guards against a response without length or chunks that ends because
+// its target dies, which closes the connection like its regular end.
+func TestResponseOfDyingTargetIsBroken(t *testing.T) {
+	is := is.New(t)
+	dying := func(header, body string) func(e *entry, w http.ResponseWriter, r *http.Request) {
+		return func(e *entry, w http.ResponseWriter, r *http.Request) {
+			server := r.Context().Value(http.ServerContextKey).(*http.Server)
+			respondRaw("t0", func(conn net.Conn, _ string) {
+				_ = server.Close() // leaves conn open
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", header, body)
+			})(e, w, r)
+		}
+	}
+	const event, stream, large = "id: 1\ndata: a\n\n", "Content-Type: text/event-stream\r\n", 300 << 10
+	for _, test := range []struct {
+		repeat       routes.RepeatPolicy
+		header, body string
+		status       int
+		broken       bool
+	}{
+		{routes.Stream, stream, event, http.StatusOK, true},
+		{routes.Stream, stream + "Leaving: 1\r\n", event, http.StatusOK, false},
+		{routes.Stream, stream + "Content-Length: 15\r\n", event, http.StatusOK, false},
+		{routes.AtMostOnce, "", "confirmed", http.StatusBadGateway, false},
+		{routes.AtMostOnce, "Leaving: 1\r\n", "confirmed", http.StatusOK, false},
+		{routes.AtMostOnce, "", strings.Repeat("x", large), http.StatusOK, true},
+	} {
+		e := start(t, routes.Route{Repeat: test.repeat, MaxAttempts: 1, Timeout: 2 * time.Second}, dying(test.header, test.body))
+		status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.Equal(status, test.status)
+		is.Equal(err != nil, test.broken)
+	}
+	for range 4 { // the first target is chosen at random
+		e := start(t, streamRoute(2), dying(stream, event), remainingEvents)
+		_, _, body, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.NoErr(err)
+		is.Equal(body, event+"id: 2\ndata: b\n\n")
+	}
+}
--- a/entryd/relay/responsebreak.go
+++ b/entryd/relay/responsebreak.go
@@ -65,7 +65,7 @@
 func connectionEndOf(cause error) connectionEnd {
 	var timeout net.Error
 	switch {
-	case errors.Is(cause, io.ErrUnexpectedEOF), errors.Is(cause, io.EOF):
+	case errors.Is(cause, io.ErrUnexpectedEOF), errors.Is(cause, errDiedAtEnd):
 		return endedByClose
 	case errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
 		return endedByReset
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -39,6 +39,9 @@
 		if err == io.EOF && c.attemptEvents == 0 && a.Framing() == httpclient.FramedByConnection {
 			err = io.ErrUnexpectedEOF // without events or a framing, nothing tells a complete stream from a broken one
 		}
+		if err == io.EOF && rl.diedAtEnd(ctx, t, a) {
+			err = errDiedAtEnd
+		}
 		if err == io.EOF {
 			return rl.finishEvents(c, a)
 		}
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/quarantine"
 	"camphormill.dev/parts/registry"
 )
@@ -104,6 +106,21 @@
 	}
 }
 
+// errDiedAtEnd reports a response that ended with its connection because the target died.
+var errDiedAtEnd = errors.New("target died as its response ended with the connection; the rest of the response is missing")
+
+// diedAtEnd reports whether a response ended with its connection because its target died. The connections
+// of a process that dies are closed, which is the regular end of a response without length or chunks. A
+// target that leaves completes its responses before it stops.
+func (rl *Relay) diedAtEnd(ctx context.Context, t registry.Target, a *httpclient.Answer) bool {
+	if a.Framing() != httpclient.FramedByConnection || t.State != registry.Ready || !rl.loads.available(rl.config.Now(), t) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	return errors.Is(rl.config.Client.Probe(ctx, t.Address), syscall.ECONNREFUSED)
+}
+
 // recordStrike records that a target died while running the request, and notifies the
 // peers. The target's ID identifies the death, because a restarted target has another ID.
 func (rl *Relay) recordStrike(c *call, t registry.Target) {
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -420,6 +420,17 @@
 	}
 }
 
+// Probe opens a connection to an address, and keeps it for a later request there.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	const newConnection = 0
+	conn, err := c.connect(ctx, Request{Address: address, MaxIdle: newConnection})
+	if err != nil {
+		return err
+	}
+	c.putIdle(conn, http.Header{})
+	return nil
+}
+
 // setUnackedTimeout sets UnackedTimeout on a TCP connection, as far as the system
 // allows.
 func (c *Client) setUnackedTimeout(raw net.Conn) {
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -271,3 +271,15 @@
 	is.Equal(string(body), "the first part")
 	is.True(err != nil)
 }
+
+// TestProbedConnectionIsUsed checks that a connection that was opened to see whether a target lives
+// carries the next request.
+func TestProbedConnectionIsUsed(t *testing.T) {
+	is := is.New(t)
+	address := startTarget(t, func(conn net.Conn, n int) { respond(conn, fmt.Sprint(n), "x") })
+	c := newClient()
+	is.NoErr(c.Probe(t.Context(), address))
+	_, err := fetch(t, c, newRequest(address, "0"))
+	is.NoErr(err)
+	is.Equal(c.ConnectionsOpened(), int64(1))
+}
