Take a target for dead at a response's end only if it is still listed

Change: the state is that of the registry now. A target that has died keeps its entry for some heartbeats. TestResponseOfDyingTargetIsBroken passes as before; this case has no test of its own, as the tests' registry never changes.

--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -113,7 +113,11 @@
 // of a process that dies are closed, which is the regular end of a response without length or chunks. A
 // target that leaves completes its responses before it stops.
 func (rl *Relay) diedAtEnd(ctx context.Context, t registry.Target, a *httpclient.Answer) bool {
-	if a.Framing() != httpclient.FramedByConnection || t.State != registry.Ready || !rl.loads.available(rl.config.Now(), t) {
+	if a.Framing() != httpclient.FramedByConnection {
+		return false
+	}
+	now, listed := rl.config.View.Targets().Target(t.ID)
+	if !listed || now.State != registry.Ready || !rl.loads.available(rl.config.Now(), now) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
