--- a/entryd/relay/framing_test.go
+++ b/entryd/relay/framing_test.go
@@ -322,6 +322,31 @@
 	}
 }
 
+// TestFramingThatEndsInsideEventIsBroken guards against a stream that is whole by its length or its last
+// chunk, but was broken off inside an event.
+func TestFramingThatEndsInsideEventIsBroken(t *testing.T) {
+	events := streamOf(3)
+	full := strings.Join(events, "")
+	for _, resumable := range []bool{false, true} {
+		fleet := startFramingFleet(t, routes.Route{Repeat: routes.Stream, Resumable: resumable, MaxAttempts: 2})
+		for _, framing := range []string{byLength, byChunks} {
+			for cut := 1; cut <= len(full); cut++ {
+				id := fleet.newID()
+				raw := newRawResponse(framing, id, "text/event-stream", []string{full[:cut]})
+				got := fleet.call(t, id, "HTTP/1.1", cutResponse{rawResponse: raw, cut: len(raw.bytes), ending: endClose}, events)
+				received, atBoundary := completeEvents(events, cut)
+				regular, want := got.err == nil && got.status == http.StatusOK, full[:received]
+				if !atBoundary && resumable {
+					want = full
+				}
+				if regular != (atBoundary || resumable) || got.body != want {
+					t.Errorf("resumable %v, %s, %d of %d bytes: %v, want %d bytes", resumable, framing, cut, len(full), got, len(want))
+				}
+			}
+		}
+	}
+}
+
 // TestStreamsOfAnyShapeEndAsTheirTargetsEndThem draws streams, their framing and their end.
 func TestStreamsOfAnyShapeEndAsTheirTargetsEndThem(t *testing.T) {
 	fleets := map[bool]*framingFleet{}
