Don't end a stream as complete when tokens of it were lost

Callers saw, on the project's own protocol: a streamed draft of which a frame was lost between target and entry went on to the end without the later tokens and ended with [DONE].

Cause: the entry emits frames in order and drops all after a gap. The target says in its answer how many it has sent; nobody compared.

Change: an answer that is done but counts more tokens than have been emitted is treated as a lost target. The stream resumes after the last token at another target, or ends in an error.

Ruled out: losses on the link itself, which is one TCP connection in order; frames get lost when the queue for a slow caller overflows as the answer comes.

It has a line in the log with both counts.

--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -100,6 +100,13 @@
 	if err != nil {
 		return run.handleError(ctx, target, incarnation, err, result)
 	}
+	if run.lacksTokens(answer) {
+		run.dispatcher.config.Logger.Warn().Str("attempt", call.Attempt).Str("target", target).Int("sent", answer.Frames).
+			Int("received", run.next-run.startedAt).Msg("tokens of an answer were lost")
+		result.Answer = contract.UnknownAnswer(contract.NewFailure(contract.KindTargetLost,
+			"tokens of the answer were lost between its target and the entry", "send the request again"))
+		return true
+	}
 	result.Answer = answer
 	return run.handleAnswer(ctx, target, incarnation, answer, result)
 }
@@ -119,6 +126,11 @@
 	}
 }
 
+// lacksTokens reports whether the target sent more tokens in this attempt than have been emitted.
+func (run *repeatableRun) lacksTokens(a contract.Answer) bool {
+	return a.Outcome == contract.OutcomeDone && run.next-run.startedAt < a.Frames
+}
+
 // answered reports whether the target of this attempt had begun to answer and lived on.
 func (run *repeatableRun) answered() bool { return run.next-run.startedAt >= answeredTokens }
 
--- a/entryd/httpapi/httpapi_test.go
+++ b/entryd/httpapi/httpapi_test.go
@@ -37,9 +37,14 @@
 
 // newHandlerWithHosts is newHandler with the given host list, or without any if hosts is nil.
 func newHandlerWithHosts(t testing.TB, p preset.Preset, hosts []platform.Host) http.Handler {
+	return newHandlerDialing(t, p, hosts, func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") })
+}
+
+// newHandlerDialing is newHandlerWithHosts with targets that dial can reach.
+func newHandlerDialing(t testing.TB, p preset.Preset, hosts []platform.Host, dial func(context.Context, string) (net.Conn, error)) http.Handler {
 	targets := pool.New(pool.Config{
 		EntryName: "entry-1", SubsetSize: 4, Now: time.Now, Heartbeat: time.Second,
-		Dial:          func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") },
+		Dial:          dial,
 		ConfigOffset:  func() int64 { return 0 },
 		ConfigChanged: func() <-chan struct{} { return nil },
 		Jitter:        func(d time.Duration) time.Duration { return d },
