Report dropped frames also when the answer comes first

Callers saw, on the project's own protocol: a caller who reads so slowly that frames are dropped gets an error, unless the answer of the target is handled before the dropped frames are noticed; then the rest was passed on as whole.

Cause: whichever of frames and answer is ready is taken at random, and the path of the answer didn't look at what was dropped.

Change: both paths report the overflow.

Before: TestOverflowAtAnswerIsReported gets the outcome done. After: unknown, too_large.

--- a/entryd/pool/run.go
+++ b/entryd/pool/run.go
@@ -130,8 +130,7 @@
 		case <-s.arrived:
 			if overflow := deliver(s, onFrame); overflow {
 				p.cancelAttempt(conn, call.Attempt)
-				return contract.UnknownAnswer(contract.NewFailure(contract.KindTooLarge,
-					"the caller read the answer too slowly", "read the stream as it arrives")), nil
+				return overflowAnswer(), nil
 			}
 		case r := <-ended:
 			if r.err != nil && ctx.Err() != nil {
@@ -141,15 +140,24 @@
 			if r.err != nil {
 				return contract.Answer{}, refusalOrLinkLost(r.err)
 			}
-			deliver(s, onFrame)
+			overflow := deliver(s, onFrame)
 			p.mu.Lock()
 			m.setLoad(r.answer.Load)
 			p.mu.Unlock()
+			if overflow {
+				return overflowAnswer(), nil
+			}
 			return r.answer, nil
 		}
 	}
 }
 
+// overflowAnswer returns the answer to a call of which frames were dropped.
+func overflowAnswer() contract.Answer {
+	return contract.UnknownAnswer(contract.NewFailure(contract.KindTooLarge,
+		"the caller read the answer too slowly", "read the stream as it arrives"))
+}
+
 // refusalOrLinkLost returns a typed refusal unchanged and ErrLinkLost for any other error.
 func refusalOrLinkLost(err error) error {
 	var f *contract.Failure
