Cut off a draft that failed midway, on the project's own protocol too

Callers saw: a streamed completion that failed after its first token ended with the event "error" and then regularly. A caller, or a proxy of theirs, that looks at the end of the response only took it for complete.

Cause: the failure was written as an event into a response that then ended as any other.

Change: after the event the response is cut off in the middle of its body, to HTTP/1.0 by a reset.

Before: TestBrokenDraftHasNoRegularEnd reads the response without an error, for HTTP/1.1.

--- a/entryd/httpapi/completions.go
+++ b/entryd/httpapi/completions.go
@@ -11,6 +11,7 @@
 
 	"camphormill.dev/entryd/dispatch"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/daemon"
 )
 
 // maxPrefixBytes bounds the beginning of a prompt that is hashed for cache affinity.
@@ -87,12 +88,16 @@
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
 	var result dispatch.Result
+	broken := false
 	if body.Stream {
-		result = s.completeStream(ctx, w, request)
+		result, broken = s.completeStream(ctx, w, request)
 	} else {
 		result = s.completeWhole(ctx, w, request)
 	}
 	s.config.Observe(request.Organisation, request.Class, result.Outcome, s.config.Now().Sub(start))
+	if broken {
+		daemon.CutOff(w, r)
+	}
 }
 
 // prefixHash hashes the beginning of a prompt together with its organisation, because
@@ -118,10 +123,11 @@
 }
 
 // completeStream writes each token as an event when it arrives. A failure before the
-// first token is a plain answer, and a later one is an event.
-func (s *Server) completeStream(ctx context.Context, w http.ResponseWriter, request dispatch.Request) dispatch.Result {
+// first token is a plain answer. A later one is an event, and the response must then be cut off, which
+// broken reports.
+func (s *Server) completeStream(ctx context.Context, w http.ResponseWriter, request dispatch.Request) (result dispatch.Result, broken bool) {
 	events := &eventWriter{w: w, controller: http.NewResponseController(w), model: request.ServiceName}
-	result := s.config.Dispatcher.RunRepeatable(ctx, request, events.writeToken)
+	result = s.config.Dispatcher.RunRepeatable(ctx, request, events.writeToken)
 	switch {
 	case result.Outcome == contract.OutcomeDone && result.Status == http.StatusOK:
 		events.start()
@@ -131,8 +137,9 @@
 	default:
 		failure, _ := json.Marshal(failureResponse{Outcome: result.Outcome, Failure: result.Failure}) // always encodes
 		events.write("event: error\ndata: " + string(failure) + "\n\n")
+		return result, true
 	}
-	return result
+	return result, false
 }
 
 // eventWriter writes server-sent events to a caller. It is not safe for concurrent use.
--- a/entryd/httpapi/stream_test.go
+++ b/entryd/httpapi/stream_test.go
@@ -132,3 +132,25 @@
 	is.True(!strings.Contains(body, "[DONE]"))
 	is.True(strings.Contains(body, "event: error"))
 }
+
+// TestBrokenDraftHasNoRegularEnd guards against a stream that failed midway and whose response ends
+// regularly: a caller that only looks at the end would take it for complete.
+func TestBrokenDraftHasNoRegularEnd(t *testing.T) {
+	is := is.New(t)
+	broken := func(call contract.Call) ([]contract.Frame, contract.Answer) {
+		return framesFrom(call, 2), contract.UnknownAnswer(contract.NewFailure(contract.KindEngineLost, "lost", "send it again"))
+	}
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		_, body, err := draft(t, startDrafts(t, broken), proto)
+		is.True(err != nil)
+		if proto == "HTTP/1.1" {
+			is.Equal(strings.Count(body, `"text":"w`), 2)
+			is.True(strings.Contains(body, "event: error"))
+		}
+	}
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		_, body, err := draft(t, startDrafts(t, whole), proto)
+		is.NoErr(err)
+		is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
+	}
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/mesh"
@@ -178,26 +178,10 @@
 	broken := rl.serve(c)
 	rl.reportOutcome(c, broken)
 	if broken {
-		cutOff(w, r)
+		daemon.CutOff(w, r)
 	}
 }
 
-// cutOff closes the caller's connection so that the caller does not take the response for complete. To
-// HTTP/1.0 a response without length goes without chunks and ends with its connection, so that only a
-// reset shows that it is incomplete.
-func cutOff(w http.ResponseWriter, r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
-		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // fails only on a connection that is already closed
-			}
-			_ = conn.Close()
-			return
-		}
-	}
-	panic(http.ErrAbortHandler) // closes the connection in the middle of the body
-}
-
 // drainState reports whether the entry is draining and whether it refuses streams.
 func (rl *Relay) drainState() (draining, streamsRefused bool) {
 	rl.mu.Lock()
