Don't pass on an engine's error response that broke off

Callers saw, on the project's own protocol: when an engine rejects a draft with a 4xx status and its response breaks off, or has more than 4 KiB, the caller got the first part as the engine's whole response.

Cause: the error of reading the body was dropped, since "an incomplete message is still of use"; it is, but not as the outcome done.

Change: a broken body gives the same answer as any lost response of the engine, and one over 64 KiB a failure that says so. The bound was 4 KiB without a word.

Before: TestCutOffRefusalIsNotPassedOn gets done in place of unknown for a body cut at 60 of 100 bytes. After: all rows.

--- a/targetd/engine/engine.go
+++ b/targetd/engine/engine.go
@@ -95,20 +95,29 @@
 	return contract.UnknownAnswer(failure)
 }
 
+// maxRefusalBytes bounds the body of an engine's error response in bytes.
+const maxRefusalBytes = 64 << 10
+
 // errorAnswer returns the answer for a status other than 200. A 4xx status means that the
-// engine rejected the request, so the caller gets the engine's response. After any other
-// status the draft may have run.
+// engine rejected the request, so the caller gets the engine's response, if it is whole. After any
+// other status the draft may have run.
 func errorAnswer(resp *http.Response) contract.Answer {
-	const maxMessageBytes = 4096
-	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes)) // an incomplete message is still of use
-	if resp.StatusCode/100 == 4 {
-		return contract.Answer{
-			Outcome: contract.OutcomeDone, Status: resp.StatusCode,
-			ContentType: resp.Header.Get("Content-Type"), Body: message,
-		}
+	if resp.StatusCode/100 != 4 {
+		return contract.UnknownAnswer(contract.NewFailure(contract.KindEngineLost,
+			"the engine answered "+resp.Status, "send the request again"))
+	}
+	message, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes+1))
+	if err != nil {
+		return lostAnswer(err)
+	}
+	if len(message) > maxRefusalBytes {
+		return contract.UnknownAnswer(contract.NewFailure(contract.KindTooLarge,
+			"the engine answered "+resp.Status+" with a body over the size limit", "look at the engine's log"))
+	}
+	return contract.Answer{
+		Outcome: contract.OutcomeDone, Status: resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"), Body: message,
 	}
-	return contract.UnknownAnswer(contract.NewFailure(contract.KindEngineLost,
-		"the engine answered "+resp.Status, "send the request again"))
 }
 
 // readEvents passes the text of each event to emit until the end marker [DONE]. It skips
--- a/targetd/engine/engine_test.go
+++ b/targetd/engine/engine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -62,3 +64,31 @@
 		}
 	})
 }
+
+// TestCutOffRefusalIsNotPassedOn guards against an engine's error response that broke off, or is longer than
+// what is read of it, and that the caller gets as a whole one.
+func TestCutOffRefusalIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		length  int // of the body as announced
+		sent    int
+		outcome contract.Outcome
+	}{
+		{100, 100, contract.OutcomeDone},
+		{100, 60, contract.OutcomeUnknown},
+		{maxRefusalBytes, maxRefusalBytes, contract.OutcomeDone},
+		{maxRefusalBytes + 1, maxRefusalBytes + 1, contract.OutcomeUnknown},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(test.length))
+			w.WriteHeader(http.StatusBadRequest)
+			_, _ = io.WriteString(w, strings.Repeat("x", test.sent))
+		}))
+		answer := New(server.URL).Work(t.Context(), contract.Call{Body: []byte("{}")}, func(string) {})
+		server.Close()
+		is.Equal(answer.Outcome, test.outcome)
+		if answer.Outcome == contract.OutcomeDone {
+			is.Equal(len(answer.Body), test.sent)
+		}
+	}
+}
