A service's answer that was reset during the call, or ends with its process, isn't complete

The target daemon took an answer without length or chunks for whole when its connection was reset while the call was still being written, and when the service died as it ended.

Change: such an answer is done only if the call has been written whole and the service still takes connections. Otherwise the outcome is unknown, as for any lost answer.

--- a/targetd/service/service.go
+++ b/targetd/service/service.go
@@ -7,6 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -45,6 +49,16 @@
 	if len(call.Body) == 0 {
 		req.Body = http.NoBody
 	}
+	written := make(chan error, 1)
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case <-written: // of an earlier connection, on which net/http has sent a read before
+			default:
+			}
+			written <- info.Err
+		},
+	}))
 	req.Header.Set("Camphormill-Organisation", call.Organisation)
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
@@ -58,6 +72,11 @@
 	if err != nil {
 		return lostAnswer(err)
 	}
+	if isUnframed(resp) {
+		if err := checkUnframedEnd(ctx, resp.Request.URL, written); err != nil {
+			return lostAnswer(err)
+		}
+	}
 	if len(answer) > maxAnswerBytes {
 		return contract.UnknownAnswer(contract.NewFailure(contract.KindTooLarge,
 			"the service's answer exceeds the size limit; the call was run", "request a smaller answer from the service"))
@@ -68,6 +87,50 @@
 	}
 }
 
+// isUnframed reports whether the body of an answer has neither length nor chunks and ends with its
+// connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && resp.Request.Method != http.MethodHead
+}
+
+const (
+	// writeErrorTimeout bounds the wait for the end of writing a call whose connection has ended.
+	writeErrorTimeout = 100 * time.Millisecond
+	// livenessTimeout bounds the connection attempt that decides whether the service is dead.
+	livenessTimeout = 250 * time.Millisecond
+)
+
+// checkUnframedEnd returns an error if an unframed answer was broken off, although its connection ended
+// regularly: a reset may have been reported to the writing of the call instead, and a service that dies
+// closes its connections.
+func checkUnframedEnd(ctx context.Context, u *url.URL, written <-chan error) error {
+	select {
+	case err := <-written:
+		if err != nil {
+			return errors.Wrap(err, "service answered before it had the call")
+		}
+	case <-time.After(writeErrorTimeout):
+		return errors.New("service ended its answer before it had the call")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	address := u.Host
+	if u.Port() == "" {
+		address = net.JoinHostPort(u.Hostname(), "http")
+	}
+	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.New("service died as its answer ended with the connection")
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+	return nil
+}
+
 // lostAnswer returns the answer for a failed connection. Only a call whose connection was
 // never opened is certain not to have run.
 func lostAnswer(err error) contract.Answer {
--- a/targetd/service/service_test.go
+++ b/targetd/service/service_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +56,68 @@
 	answer := New(server.URL).Work(context.Background(), contract.Call{Method: "POST", Path: "/"}, nil)
 	is.Equal(answer.Outcome, contract.OutcomeNotRun)
 }
+
+// startRawService starts a service that writes bytes of its own choice to each connection. Its listener
+// is closed before that if dying is set.
+func startRawService(t *testing.T, dying bool, write func(conn *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1<<10))
+			if dying {
+				_ = listener.Close()
+			}
+			write(conn.(*net.TCPConn))
+			_ = conn.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// TestBrokenAnswerIsNotPassedOn guards against the answer of a service that broke off, by any framing and in
+// any way, and that is passed on as whole.
+func TestBrokenAnswerIsNotPassedOn(t *testing.T) {
+	reset := func(conn *net.TCPConn) {
+		time.Sleep(20 * time.Millisecond) // the reset must not overtake the bytes
+		_ = conn.SetLinger(0)
+	}
+	closed := func(*net.TCPConn) {}
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, test := range map[string]struct {
+		answer    string
+		end       func(conn *net.TCPConn)
+		dying     bool
+		bodyBytes int // of the call
+		outcome   contract.Outcome
+	}{
+		"length, closed":                {ok + "Content-Length: 5\r\n\r\ndone", closed, false, 0, contract.OutcomeUnknown},
+		"chunks, closed":                {ok + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", closed, false, 0, contract.OutcomeUnknown},
+		"connection, closed":            {ok + "\r\ndone", closed, false, 0, contract.OutcomeDone},
+		"connection, reset":             {ok + "\r\ndone", reset, false, 0, contract.OutcomeUnknown},
+		"connection, reset during call": {ok + "\r\ndone", reset, false, 32 << 20, contract.OutcomeUnknown},
+		"connection, service died":      {ok + "\r\ndone", closed, true, 0, contract.OutcomeUnknown},
+		"length, whole, service died":   {ok + "Content-Length: 4\r\n\r\ndone", closed, true, 0, contract.OutcomeDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			url := startRawService(t, test.dying, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, test.answer)
+				test.end(conn)
+			})
+			answer := New(url).Work(t.Context(), contract.Call{Method: "POST", Path: "/", Body: make([]byte, test.bodyBytes)}, nil)
+			is.Equal(answer.Outcome, test.outcome)
+			if answer.Outcome == contract.OutcomeDone {
+				is.Equal(string(answer.Body), "done")
+			}
+		})
+	}
+}
