Suspect the parts of a request whose target died behind a cut

That entry got a timeout and no refused connection, which says nothing about a target's death; the other entries knew of the death only what cleared their own requests.

When the registry has another process at the target's address, the target has died since, and the request's parts are suspected and told to the others. The death counts from when the request was sent, so that each answer since then, at any entry, clears a part.

Ruled out: strikes of other entries as evidence; an entry that is cut off gives them for targets that live.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -169,7 +169,7 @@
 	s.relay = relay.New(relay.Config{
 		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
 		MaxProofAge: time.Duration(revocationBoundShare * float64(c.RevocationBound)), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
-		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
+		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
 	return nil
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -68,6 +69,8 @@
 	ShareParts func(records []quarantine.PartRecord, query bool)
 	// OnTargetDeath is called for each request whose target died while it ran the request.
 	OnTargetDeath func(service string)
+	// Dial opens the connection that tells whether a target lives.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
 	// OnOutcome is called at the end of each request.
 	OnOutcome func(o Outcome)
 	Log       zerolog.Logger
@@ -94,6 +97,7 @@
 	retryBudgets map[string]*limit.RetryBudget
 	strikes      *quarantine.List
 	parts        *quarantine.PartList
+	lost         []lostRequest // whose targets may have died; oldest first
 	draining     bool
 	// streamsRefused is set when the entry is about to stop and a response that lasts
 	// seconds would be cut off.
@@ -128,8 +132,9 @@
 	rl.strikes.Merge(rl.config.Now(), s)
 }
 
-// PruneTargets drops the load state and the rate limits of targets that are no longer registered.
+// PruneTargets is called with each new state of the registry. It drops the load state and the rate limits of targets that are no longer registered.
 func (rl *Relay) PruneTargets(r registry.Registry) {
+	rl.recordRestarts(r)
 	rl.loads.prune(r)
 	rl.config.Limits.prune(r)
 }
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -82,6 +83,7 @@
 	addresses []string // of the targets
 	mesh      *mesh.Mesh
 	slots     *relay.SlotClient
+	view      *storeview.View
 }
 
 func (e *entry) recordRun(target string, r *http.Request) {
@@ -171,12 +173,13 @@
 		Slots:    e.slots,
 		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now}),
-		OnStrike: func(quarantine.Strike) {}, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
+		OnStrike: func(quarantine.Strike) {}, Dial: net.DialTimeout, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
 	}
 	configure(&config)
 	e.relay = relay.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	e.view = view
 	go m.Run(ctx)
 	go view.Run(ctx)
 	for i := 0; !view.Loaded() && i < 200; i++ {
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -93,16 +92,22 @@
 	if c.attemptEvents >= answeredEvents {
 		return
 	}
-	conn, err := net.DialTimeout("tcp", t.Address, livenessTimeout)
+	conn, err := rl.config.Dial("tcp", t.Address, livenessTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
 	rl.recordStrike(c, t)
+	if len(c.parts) == 0 {
+		return
+	}
+	lost := lostRequest{id: c.info.AttemptID, target: t, sharedParts: c.info.SharedParts, parts: c.parts, sentAt: c.sentAt}
 	// A target that doesn't even refuse the connection may be cut off, which says nothing about
 	// the parts that the request shares with others.
-	if errors.Is(err, syscall.ECONNREFUSED) && len(c.parts) > 0 {
-		rl.recordPartDeath(c, t)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		rl.recordPartDeath(lost, rl.config.Now())
+	} else {
+		rl.rememberLost(lost)
 	}
 }
 
@@ -138,25 +143,23 @@
 	rl.config.OnStrike(s)
 }
 
-// recordPartDeath suspects the parts of a request whose target died. It tells the other entries at
-// once, waits for what they know of the parts, and passes on what clears some of them.
-func (rl *Relay) recordPartDeath(c *call, t registry.Target) {
+// recordPartDeath suspects the parts of a request whose target died at the given time. It tells the
+// other entries at once, waits for what they know of the parts, and passes on what clears some of them.
+func (rl *Relay) recordPartDeath(lost lostRequest, diedAt time.Time) {
 	rl.mu.Lock()
-	now := rl.config.Now()
-	suspects := rl.parts.AddDeath(now, t.ID, c.parts)
-	records := rl.parts.Records(now, c.parts)
+	suspects := rl.parts.AddDeathAt(rl.config.Now(), diedAt, lost.target.ID, lost.parts)
+	records := rl.parts.Records(rl.config.Now(), lost.parts)
 	rl.mu.Unlock()
 	rl.config.ShareParts(records, true)
 	time.Sleep(partQueryTime)
 	rl.mu.Lock()
-	now = rl.config.Now()
-	left := rl.parts.Suspects(now, c.parts)
-	records = rl.parts.Records(now, c.parts)
+	left := rl.parts.Suspects(rl.config.Now(), lost.parts)
+	records = rl.parts.Records(rl.config.Now(), lost.parts)
 	rl.mu.Unlock()
 	if len(left) < len(suspects) {
 		rl.config.ShareParts(records, false)
 	}
-	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Strs("parts", formatParts(c.info.SharedParts)).
+	rl.config.Log.Warn().Str("request", lost.id).Str("service", lost.target.Service).Str("target", lost.target.ID).Strs("parts", formatParts(lost.sharedParts)).
 		Int("suspects_alone", len(suspects)).Int("suspects", len(left)).Msg("prompt parts suspected of a target's death")
 }
 
--- a/parts/quarantine/parts.go
+++ b/parts/quarantine/parts.go
@@ -159,16 +159,21 @@
 	}
 }
 
-// AddDeath records that a target died after it had got a request with the parts and before it
+// AddDeath records that a target died now, after it had got a request with the parts and before it
 // had answered it. If some of the parts are refused already, the death is put down to them alone.
 // It returns the parts that are suspects now.
 func (l *PartList) AddDeath(now time.Time, incarnation string, parts []PartID) []PartID {
+	return l.AddDeathAt(now, now, incarnation, parts)
+}
+
+// AddDeathAt is AddDeath for a target that died at an earlier time. Answers since then clear their parts.
+func (l *PartList) AddDeathAt(now, diedAt time.Time, incarnation string, parts []PartID) []PartID {
 	charged := l.Suspects(now, parts)
 	if len(charged) == 0 {
 		charged = parts
 	}
 	for _, id := range charged {
-		l.addDeath(id, PartDeath{Incarnation: incarnation, At: now})
+		l.addDeath(id, PartDeath{Incarnation: incarnation, At: diedAt})
 	}
 	return l.Suspects(now, charged)
 }
