Count broken responses by framing and by what the caller got

Observability of the incident: the line "response ended early" tells of one response; nothing on the metrics address showed how many there are, or that all of them reached their callers whole.

TestBrokenResponsesAreCounted needs the counter.

--- a/entryd/frontend/observer.go
+++ b/entryd/frontend/observer.go
@@ -46,6 +46,9 @@
 	if r.Attempts > 1 {
 		o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_retries_total{service=%q}`, r.Service)).Add(r.Attempts - 1)
 	}
+	for _, b := range r.Broken {
+		o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_broken_responses_total{service=%q,framing=%q,caller_got=%q}`, r.Service, b.Framing, b.CallerGot)).Inc()
+	}
 	if r.TimeToFirstByte > 0 {
 		o.set.GetOrCreateHistogram(fmt.Sprintf(`camphormill_first_byte_seconds{organisation=%q}`, organisation)).Update(r.TimeToFirstByte.Seconds())
 	}
--- /dev/null
+++ b/entryd/frontend/observer_test.go
@@ -0,0 +1,22 @@
+package frontend
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"camphormill.dev/entryd/relay"
+)
+
+// TestBrokenResponsesAreCounted guards against metrics that don't show that targets break off their
+// responses as long as callers get them whole.
+func TestBrokenResponsesAreCounted(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	newObserver(set).observe(relay.Outcome{Service: "brief-model", Status: 200, Attempts: 2, Broken: []relay.BrokenResponse{{Framing: "connection", CallerGot: "whole"}}})
+	var out strings.Builder
+	set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `camphormill_broken_responses_total{service="brief-model",framing="connection",caller_got="whole"} 1`))
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -86,6 +86,7 @@
 	Duration        time.Duration
 	TimeToFirstByte time.Duration // time to the first byte of the response; 0 if none was sent
 	Attempts        int           // attempts in which the request was, or may have been, sent to a target
+	Broken          []BrokenResponse
 }
 
 // Relay is the HTTP handler for callers' requests. It is safe for concurrent use.
@@ -380,7 +381,7 @@
 		c.outcome.TimeToFirstByte = c.firstByteAt.Sub(c.startedAt)
 	}
 	callerGone := c.request.Context().Err() != nil
-	rl.logBreaks(c, broken)
+	rl.reportBreaks(c, broken)
 	event := rl.config.Log.Info()
 	if c.outcome.Reason != "" || broken {
 		event = rl.config.Log.Warn()
--- a/entryd/relay/responsebreak.go
+++ b/entryd/relay/responsebreak.go
@@ -82,9 +82,15 @@
 	callerGotFailure = "failure" // a status of the relay itself
 )
 
-// logBreaks writes a line for each response of the request that ended early. It is called at the
-// request's end, when it is known what the caller got.
-func (rl *Relay) logBreaks(c *call, broken bool) {
+// BrokenResponse is a response of a target that ended early.
+type BrokenResponse struct {
+	Framing   string // what marks the end of its body
+	CallerGot string // what the caller got in the end
+}
+
+// reportBreaks writes a line for each response of the request that ended early, and adds it to the
+// outcome. It is called at the request's end, when it is known what the caller got.
+func (rl *Relay) reportBreaks(c *call, broken bool) {
 	got := callerGotWhole
 	switch {
 	case broken:
@@ -93,6 +99,7 @@
 		got = callerGotFailure
 	}
 	for _, b := range c.breaks {
+		c.outcome.Broken = append(c.outcome.Broken, BrokenResponse{Framing: string(b.framing), CallerGot: got})
 		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", b.targetID).Str("framing", string(b.framing)).
 			Str("position", string(b.position)).Str("ended_by", string(b.endedBy)).Int("events", b.events).Int64("bytes", b.bytes).
 			Dur("after", b.after).Str("caller_got", got).Err(b.cause).Msg("response ended early")
