Relay: names and a comment after reading the changes

A target was named "now", which is a time elsewhere; whether a resumed attempt goes on after the last event was named "resumed".

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -133,7 +133,8 @@
 	rl.strikes.Merge(rl.config.Now(), s)
 }
 
-// PruneTargets is called with each new state of the registry. It drops the load state and the rate limits of targets that are no longer registered.
+// PruneTargets is called with each new state of the registry. It drops the load state and the rate
+// limits of targets that are no longer registered.
 func (rl *Relay) PruneTargets(r registry.Registry) {
 	rl.recordRestarts(r)
 	rl.loads.prune(r)
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -26,15 +26,15 @@
 func (rl *Relay) relayEvents(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer) result {
 	controller := http.NewResponseController(c.writer)
 	reader := bufio.NewReaderSize(a.Body, 4<<10)
-	resumed := c.lastEventID == "" // the attempt goes on after the last event that was sent
+	goesOn := c.lastEventID == "" // the attempt is known to go on after the last event that was sent
 	for {
 		event, err := readEvent(reader)
 		id, hasID := eventID(event)
-		if err == nil && hasID && !resumed {
+		if err == nil && hasID && !goesOn {
 			if startsAgain(id, c.lastEventID) {
 				err = errStartedAgain
 			}
-			resumed = true
+			goesOn = true
 		}
 		if err == io.EOF && c.attemptEvents == 0 && a.Framing() == httpclient.FramedByConnection {
 			err = io.ErrUnexpectedEOF // without events or a framing, nothing tells a complete stream from a broken one
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -121,8 +121,8 @@
 	if a.Framing() != httpclient.FramedByConnection {
 		return false
 	}
-	now, listed := rl.config.View.Targets().Target(t.ID)
-	if !listed || now.State != registry.Ready || !rl.loads.available(rl.config.Now(), now) {
+	current, listed := rl.config.View.Targets().Target(t.ID)
+	if !listed || current.State != registry.Ready || !rl.loads.available(rl.config.Now(), current) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
