Split files that have grown; the field's words for responses that end with their connection

parts/httpclient: the framing of responses and the limit on heads get files of their own. entryd/relay: the harness of the tests and the tests of how streams end move out of relay_test.go and endless_test.go. targetd/service: names without "unframed".

--- a/entryd/relay/responsebreak_test.go
+++ b/entryd/relay/responsebreak_test.go
@@ -66,10 +66,10 @@
 // where and how it ended, and what its caller got.
 func TestLineOfBrokenResponseTellsItsEnd(t *testing.T) {
 	is := is.New(t)
-	unframed := respondRaw("t0", func(conn net.Conn, id string) {
+	broken := respondRaw("t0", func(conn net.Conn, id string) {
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\nda", id)
 	})
-	e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 2, Timeout: 2 * time.Second}, unframed)
+	e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 2, Timeout: 2 * time.Second}, broken)
 	_, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
 	is.True(err != nil)
 	line := e.waitForLine(t, "response ended early")
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -177,33 +177,6 @@
 // maxSkippedBytes bounds what is read of the body of a skipped response.
 const maxSkippedBytes = 1 << 20
 
-// maxHeadBytes bounds the head of a response, because a faulty target may send one without end.
-const maxHeadBytes = 64 << 10
-
-// headLimiter bounds what is read from a connection while the head of a response is read.
-type headLimiter struct {
-	source    io.Reader
-	unlimited bool
-	remaining int // bytes that may be read, unless unlimited is set
-}
-
-func (l *headLimiter) allow(bytes int) { l.unlimited, l.remaining = false, bytes }
-
-func (l *headLimiter) allowAll() { l.unlimited = true }
-
-// Read reads from the connection, up to the limit.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.unlimited {
-		return l.source.Read(p)
-	}
-	if l.remaining == 0 {
-		return 0, errors.Errorf("the head of the response exceeds %d bytes; the connection is closed", maxHeadBytes)
-	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 type countingWriter struct {
 	w       io.Writer
 	written int
@@ -241,30 +214,6 @@
 // Close does nothing: Answer.Close ends the exchange.
 func (b *trackedBody) Close() error { return nil }
 
-// Framing names what marks the end of a response's body.
-type Framing string
-
-// The framings of responses.
-const (
-	FramedByLength     Framing = "length"
-	FramedByChunks     Framing = "chunks"
-	FramedByConnection Framing = "connection" // the body ends with its connection
-)
-
-// Framing returns how the response's body is framed. The response to a HEAD request has none, whose
-// length is known.
-func (a *Answer) Framing() Framing {
-	switch {
-	case a.Request != nil && a.Request.Method == http.MethodHead:
-		return FramedByLength
-	case len(a.TransferEncoding) > 0:
-		return FramedByChunks
-	case a.ContentLength >= 0:
-		return FramedByLength
-	}
-	return FramedByConnection
-}
-
 // Close ends the exchange. It returns the connection to the pool if the body was
 // read to its end and the connection can carry another request, and closes it
 // otherwise. The connection cannot be reused after an error or a cancellation, if the
--- a/targetd/service/service.go
+++ b/targetd/service/service.go
@@ -72,8 +72,8 @@
 	if err != nil {
 		return lostAnswer(err)
 	}
-	if isUnframed(resp) {
-		if err := checkUnframedEnd(ctx, resp.Request.URL, written); err != nil {
+	if endsWithConnection(resp) {
+		if err := checkConnectionEnd(ctx, resp.Request.URL, written); err != nil {
 			return lostAnswer(err)
 		}
 	}
@@ -87,9 +87,8 @@
 	}
 }
 
-// isUnframed reports whether the body of an answer has neither length nor chunks and ends with its
-// connection.
-func isUnframed(resp *http.Response) bool {
+// endsWithConnection reports whether the body of an answer has neither length nor chunks.
+func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && resp.Request.Method != http.MethodHead
 }
 
@@ -100,10 +99,10 @@
 	livenessTimeout = 250 * time.Millisecond
 )
 
-// checkUnframedEnd returns an error if an unframed answer was broken off, although its connection ended
-// regularly: a reset may have been reported to the writing of the call instead, and a service that dies
+// checkConnectionEnd returns an error if an answer that ends with its connection was broken off, although
+// the connection ended regularly: a reset may have been reported to the writing of the call instead, and a service that dies
 // closes its connections.
-func checkUnframedEnd(ctx context.Context, u *url.URL, written <-chan error) error {
+func checkConnectionEnd(ctx context.Context, u *url.URL, written <-chan error) error {
 	select {
 	case err := <-written:
 		if err != nil {
