Tests of broken responses: give whole responses the time that a busy machine needs

Traced by the lines of such requests, in 2 of 6 copies of the test run side by side: the route's time of 250 ms was over when the entry had read 4,016 of 307,200 bytes, or not yet the head. The relay was right to end them; the test gave a response that is due the same 250 ms as one that never comes.

Change: only where nothing is due does a caller wait 250 ms; where events are due before the silence it waits 2 s, and whole responses and early ends have 10 s. What is checked is the same.

--- a/entryd/relay/framing_test.go
+++ b/entryd/relay/framing_test.go
@@ -141,7 +141,25 @@
 	events sync.Map // []string, by request ID: what further attempts send, after the event that they resume
 }
 
-const framingTimeout = 250 * time.Millisecond
+// The timeouts of requests. Only a target that falls silent makes a caller wait for one.
+const (
+	answeredTimeout = 10 * time.Second       // where a whole response or an early end is due
+	eventsTimeout   = 2 * time.Second        // where events are due before the silence
+	silenceTimeout  = 250 * time.Millisecond // where nothing is due
+)
+
+// timeout returns how long the caller waits for the response of a stream or of another body.
+func (c cutResponse) timeout(events []string) time.Duration {
+	whole := c.cut == len(c.bytes) && c.framing != byConnection
+	received, _ := completeEvents(events, c.bodyAt(c.cut))
+	switch {
+	case c.ending != endSilence || whole:
+		return answeredTimeout
+	case received > 0:
+		return eventsTimeout
+	}
+	return silenceTimeout
+}
 
 func startFramingFleet(t *testing.T, route routes.Route) *framingFleet {
 	t.Helper()
@@ -163,7 +181,7 @@
 			_, _ = io.WriteString(w, event)
 		}
 	}
-	route.Timeout = framingTimeout
+	route.Timeout = answeredTimeout
 	f.entry = startConfigured(t, route, routes.Service{Name: "s"}, func(c *relay.Config) {
 		c.RetryReserve = 1 << 20
 		// No connection is used again: some targets end or forget theirs after a whole response.
@@ -189,10 +207,10 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(2 * answeredTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := fmt.Fprintf(conn, "POST /r/x %s\r\nHost: h\r\nId: %s\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody", proto, id); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST /r/x %s\r\nHost: h\r\nId: %s\r\nKey: key\r\nTimeout: %v\r\nContent-Length: 4\r\n\r\nbody", proto, id, response.timeout(events)); err != nil {
 		t.Fatal(err)
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/entryd/relay/harness_test.go
+++ b/entryd/relay/harness_test.go
@@ -33,6 +33,9 @@
 	return relay.Protocol{
 		Read: func(r *http.Request) relay.RequestInfo {
 			info := relay.RequestInfo{AttemptID: r.Header.Get("Id"), Key: r.Header.Get("Key")}
+			if timeout, err := time.ParseDuration(r.Header.Get("Timeout")); err == nil {
+				info.Timeout = timeout
+			}
 			for _, part := range strings.Fields(r.Header.Get("Parts")) {
 				id, _ := strconv.ParseUint(part, 16, 64)
 				info.SharedParts = append(info.SharedParts, id)
