--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -33,6 +33,8 @@
 	// Now returns the time by which PeerTimeout is measured.
 	Now func() time.Time
 	Log zerolog.Logger
+	// Socket carries the datagrams. Listen opens a UDP socket at Self.Address if it is nil.
+	Socket *Socket
 	// Handle is called by Run with each message from a known host. Run receives nothing
 	// until it returns. Handle, OnLost and OnAlive are called without the lock of the
 	// Mesh, so they may call its methods.
@@ -48,11 +50,42 @@
 	OnIntroduced func(h Host)
 }
 
+// Socket sends and receives datagrams. Its functions are safe for concurrent use.
+type Socket struct {
+	// Receive waits for a datagram and returns its length, or an error after Close.
+	Receive func(buffer []byte) (int, error)
+	Send    func(datagram []byte, to netip.AddrPort) error
+	Close   func() error
+}
+
+// newUDPSocket opens a UDP socket at an address, given as IP:port.
+func newUDPSocket(address string) (*Socket, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "cannot parse mesh address %s; set it as IP:port", address)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrapf(err, "cannot listen on %s; free the port or set another", address)
+	}
+	return &Socket{
+		Receive: func(buffer []byte) (int, error) {
+			n, _, err := conn.ReadFromUDPAddrPort(buffer)
+			return n, err
+		},
+		Send: func(datagram []byte, to netip.AddrPort) error {
+			_, err := conn.WriteToUDPAddrPort(datagram, to)
+			return err
+		},
+		Close: conn.Close,
+	}, nil
+}
+
 // Mesh exchanges messages with the other daemons and keeps a record of each. It is
 // safe for concurrent use.
 type Mesh struct {
 	config  Config
-	conn    *net.UDPConn
+	socket  *Socket
 	dropped atomic.Int64
 
 	mu    sync.Mutex
@@ -67,27 +100,26 @@
 	heartbeat    Heartbeat // newest heartbeat
 }
 
-// Listen opens the UDP socket of the mesh at the address in c.Self.
+// Listen returns a Mesh that receives at the address in c.Self.
 func Listen(c Config) (*Mesh, error) {
-	at, err := netip.ParseAddrPort(c.Self.Address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "cannot parse mesh address %s; set it as IP:port", c.Self.Address)
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return nil, errors.Wrapf(err, "cannot listen on %s; free the port or set another", c.Self.Address)
+	socket := c.Socket
+	if socket == nil {
+		var err error
+		if socket, err = newUDPSocket(c.Self.Address); err != nil {
+			return nil, err
+		}
 	}
-	return &Mesh{config: c, conn: conn, peers: map[string]*peer{}}, nil
+	return &Mesh{config: c, socket: socket, peers: map[string]*peer{}}, nil
 }
 
 // Run receives messages and passes them to Config.Handle until ctx ends, which also
 // closes the socket.
 func (m *Mesh) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = m.socket.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
+		n, err := m.socket.Receive(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -201,7 +233,7 @@
 		m.config.Log.Error().Err(err).Msg("cannot encode message; dropping it")
 		return
 	}
-	if _, err := m.conn.WriteToUDPAddrPort(raw, to); err != nil {
+	if err := m.socket.Send(raw, to); err != nil {
 		m.dropped.Add(1) // treated as a lost datagram; the caller sends again if needed
 	}
 }
