--- a/parts/freshness/freshness.go
+++ b/parts/freshness/freshness.go
@@ -10,6 +10,9 @@
 // time since the host started.
 type Instant time.Duration
 
+// Add returns the instant that is d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
 // Proof records the newest confirmed version and when it was confirmed. It is
 // immutable; the zero Proof confirms nothing.
 type Proof struct {
--- a/parts/placement/balance.go
+++ b/parts/placement/balance.go
@@ -13,6 +13,8 @@
 type BalanceConfig struct {
 	TargetSkew float64 // skew at which Balance stops
 	MaxFetches int     // maximum number of experts that one rank fetches
+	// MaxTotalFetches is the maximum number of experts that all ranks fetch together; 0 for no limit.
+	MaxTotalFetches int
 }
 
 // Balance takes load from the slowest rank, one expert at a time, until the skew
@@ -36,6 +38,7 @@
 	holders [][]int   // ranks that hold each expert, by expert
 	loads   []float64 // load of each rank
 	fetched [][]int   // experts that each rank must fetch, by rank
+	total   int       // number of experts in fetched
 	// deltas, seen and touched are scratch buffers of gain. deltas and seen are
 	// indexed by rank and cleared after each use.
 	deltas  []float64
@@ -100,7 +103,7 @@
 			consider(change{add: -1, drop: e, from: slow, evict: -1})
 		}
 		for rank := range b.layout {
-			if rank == slow || slices.Contains(b.layout[rank], e) || len(b.fetched[rank]) >= b.config.MaxFetches {
+			if rank == slow || slices.Contains(b.layout[rank], e) || !b.mayFetch(rank) {
 				continue
 			}
 			evict := -1
@@ -120,6 +123,11 @@
 	return true
 }
 
+// mayFetch reports whether the limits allow the rank to fetch another expert.
+func (b *balancer) mayFetch(rank int) bool {
+	return len(b.fetched[rank]) < b.config.MaxFetches && (b.config.MaxTotalFetches == 0 || b.total < b.config.MaxTotalFetches)
+}
+
 // victim returns the expert to evict from the rank, or -1 if there is none: the one
 // whose eviction adds the least load to each of its other holders. Excluded are the
 // expert keep, experts without another replica, and experts that this run of Balance
@@ -213,6 +221,7 @@
 		b.holders[c.add] = append(b.holders[c.add], c.to)
 		b.counts[c.add]++
 		b.fetched[c.to] = append(b.fetched[c.to], c.add)
+		b.total++
 	}
 	if c.drop >= 0 {
 		b.remove(c.drop, c.from)
@@ -225,5 +234,6 @@
 	b.counts[expert]--
 	if at := slices.Index(b.fetched[rank], expert); at >= 0 {
 		b.fetched[rank] = slices.Delete(b.fetched[rank], at, at+1)
+		b.total--
 	}
 }
