--- a/entryd/relay/slots.go
+++ b/entryd/relay/slots.go
@@ -96,6 +96,7 @@
 		c.moveRequest(*m.SlotResponse)
 	case m.SlotResponse != nil:
 		c.mu.Lock()
+		c.recordSign(from)
 		responses, ok := c.pending[m.SlotResponse.ID]
 		c.mu.Unlock()
 		if ok {
@@ -107,6 +108,19 @@
 	}
 }
 
+// recordSign records that a leader which answers is there, also if its last announcement was lost. The
+// caller holds the lock.
+func (c *SlotClient) recordSign(from mesh.Host) {
+	for _, groups := range c.leaders {
+		for name, leader := range groups {
+			if leader.host == from.Name {
+				leader.lastHeardAt = c.config.Now()
+				groups[name] = leader
+			}
+		}
+	}
+}
+
 // moveRequest cancels the attempt of a running request, so that the relay continues it at
 // another engine. A repeated message has no effect.
 func (c *SlotClient) moveRequest(move mesh.SlotResponse) {
