--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -191,7 +191,9 @@
 	case m.RequestEngineSettings != "":
 		s.sendEngineSettings(from, m.RequestEngineSettings)
 	case m.Order != nil:
-		go s.executeOrder(from, *m.Order)
+		for _, o := range m.Order.ForEachEngine() {
+			go s.executeOrder(from, o)
+		}
 	default:
 		s.slots.Handle(from, m)
 	}
--- a/parts/mesh/encoding.go
+++ b/parts/mesh/encoding.go
@@ -1,72 +1,11 @@
 package mesh
 
 import (
-	"encoding/binary"
-
-	"github.com/pkg/errors"
+	"math"
+	"math/rand/v2"
+	"slices"
 )
 
-// EncodeLayout encodes a layout as varints. layout[set][rank] lists the numbers of the
-// experts; each list is preceded by its length. The encoding is compact because all ranks
-// of a large group receive it at the same time over links of low bandwidth.
-func EncodeLayout(layout [][][]int) []byte {
-	out := binary.AppendUvarint(nil, uint64(len(layout)))
-	for _, set := range layout {
-		out = binary.AppendUvarint(out, uint64(len(set)))
-		for _, experts := range set {
-			out = binary.AppendUvarint(out, uint64(len(experts)))
-			for _, expert := range experts {
-				out = binary.AppendUvarint(out, uint64(expert))
-			}
-		}
-	}
-	return out
-}
-
-// maxLayoutValue is the maximum number of sets, ranks or experts, and the maximum
-// expert number, that DecodeLayout accepts.
-const maxLayoutValue = 4096
-
-var errLayout = errors.New("cannot decode layout; the leader sends it again")
-
-// DecodeLayout decodes the output of EncodeLayout. It returns an error if raw is
-// truncated or exceeds a limit.
-func DecodeLayout(raw []byte) ([][][]int, error) {
-	next := func() (int, error) {
-		n, size := binary.Uvarint(raw)
-		if size <= 0 || n > maxLayoutValue {
-			return 0, errLayout
-		}
-		raw = raw[size:]
-		return int(n), nil
-	}
-	sets, err := next()
-	if err != nil {
-		return nil, err
-	}
-	layout := make([][][]int, sets)
-	for s := range layout {
-		ranks, err := next()
-		if err != nil {
-			return nil, err
-		}
-		layout[s] = make([][]int, ranks)
-		for r := range layout[s] {
-			experts, err := next()
-			if err != nil {
-				return nil, err
-			}
-			layout[s][r] = make([]int, experts)
-			for e := range layout[s][r] {
-				if layout[s][r][e], err = next(); err != nil {
-					return nil, err
-				}
-			}
-		}
-	}
-	return layout, nil
-}
-
 // EncodeChoices encodes how often each expert was chosen between two readings of the
 // counters, before and now, which are indexed by expert. The first byte is a number of
 // bits. All counts are shifted right by it, so that each fits into one byte; only their
@@ -101,10 +40,78 @@
 	return out
 }
 
-// DecodeChoices decodes the output of EncodeChoices into approximate counts by expert.
-// It returns nil for invalid input.
+// coarseFlag is set in the first byte of the output of EncodeCoarseChoices.
+const coarseFlag = 0x80
+
+// maxShift is the maximum number of bits in the first byte of encoded choices.
+const maxShift = 62
+
+// EncodeCoarseChoices is EncodeChoices with half the size: each count, in proportion to the largest, is
+// kept as its square root in four bits. It is rounded up or down at random so that the mean over several
+// ranks is exact.
+func EncodeCoarseChoices(before, now []int64) []byte {
+	fine := EncodeChoices(before, now)
+	if fine == nil {
+		return nil
+	}
+	largest := slices.Max(fine[1:])
+	out := make([]byte, 1, len(fine)/2+2)
+	out[0] = coarseFlag | fine[0]
+	out = append(out, largest)
+	for i, b := range fine[1:] {
+		root := coarseRoot(float64(b) / float64(largest))
+		if i%2 == 0 {
+			out = append(out, root<<nibbleBits)
+		} else {
+			out[len(out)-1] |= root
+		}
+	}
+	return out
+}
+
+// coarseRoot returns the square root of a share of the largest count, in units of 1/maxNibble. Its square
+// has the share as its mean.
+func coarseRoot(share float64) byte {
+	low := math.Floor(maxNibble * math.Sqrt(share))
+	if low == maxNibble {
+		return maxNibble
+	}
+	excess := share*maxNibble*maxNibble - low*low
+	if rand.Float64() < excess/(2*low+1) {
+		low++
+	}
+	return byte(low)
+}
+
+const (
+	nibbleBits = 4
+	maxNibble  = 1<<nibbleBits - 1
+)
+
+// decodeCoarseChoices decodes the output of EncodeCoarseChoices. The last count is an additional 0 if the
+// number of experts is odd.
+func decodeCoarseChoices(raw []byte) []float64 {
+	shift := raw[0] &^ coarseFlag
+	if shift > maxShift || len(raw) < 3 {
+		return nil
+	}
+	largest := float64(int64(raw[1]) << shift)
+	out := make([]float64, 0, 2*(len(raw)-2))
+	for _, b := range raw[2:] {
+		for _, root := range []byte{b >> nibbleBits, b & maxNibble} {
+			share := float64(root) / maxNibble
+			out = append(out, share*share*largest)
+		}
+	}
+	return out
+}
+
+// DecodeChoices decodes the output of EncodeChoices or EncodeCoarseChoices into approximate counts by
+// expert. It returns nil for invalid input.
 func DecodeChoices(raw []byte) []float64 {
-	const maxShift = 62
+	if len(raw) >= 1 && raw[0]&coarseFlag != 0 {
+		return decodeCoarseChoices(raw)
+	}
 	if len(raw) < 2 || raw[0] > maxShift {
 		return nil
 	}
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"camphormill.dev/parts/expertlayout"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/mapswitch"
 	"camphormill.dev/parts/quarantine"
@@ -44,10 +45,13 @@
 	SlotRelease           *SlotRelease        `json:"release,omitempty"`
 	RankReport            *RankReport         `json:"rank,omitempty"`
 	LeaderAnnouncement    *LeaderAnnouncement `json:"lead,omitempty"`
-	Order                 *Order              `json:"order,omitempty"`
-	OrderResult           *OrderResult        `json:"ordered,omitempty"`
-	Strike                *Strike             `json:"strike,omitempty"`
-	PartRecords           *PartRecords        `json:"part_records,omitempty"`
+	// RequestLeader asks a target daemon whether it has heard the leader of the named group.
+	RequestLeader  string          `json:"ask_lead,omitempty"`
+	LeaderSighting *LeaderSighting `json:"lead_seen,omitempty"`
+	Order          *Order          `json:"order,omitempty"`
+	OrderResult    *OrderResult    `json:"ordered,omitempty"`
+	Strike         *Strike         `json:"strike,omitempty"`
+	PartRecords    *PartRecords    `json:"part_records,omitempty"`
 	// TargetLimits tells the other entries which rate limits targets name.
 	TargetLimits  []TargetLimit  `json:"target_limits,omitempty"`
 	LimitRequest  *LimitRequest  `json:"limit_request,omitempty"`
@@ -136,12 +140,14 @@
 	Open    bool   `json:"open"` // the engine reports that its group accepts requests
 	// Down is set if the engine refuses connections since it was last read, so that its group
 	// cannot step.
-	Down     bool            `json:"down,omitempty"`
-	View     mapswitch.View  `json:"view"`
-	Queued   int             `json:"queued"`            // requests
-	Active   int             `json:"active"`            // requests
-	Slowdown float64         `json:"pace"`              // relative pass time; more than 1 is slower than normal
-	Experts  [][]int         `json:"held"`              // experts held, by set
+	Down     bool           `json:"down,omitempty"`
+	View     mapswitch.View `json:"view"`
+	Queued   int            `json:"queued"` // requests
+	Active   int            `json:"active"` // requests
+	Slowdown float64        `json:"pace"`   // relative pass time; more than 1 is slower than normal
+	// Experts lists the experts held, by set. It is empty if they are those of an earlier report with the
+	// same map and epoch.
+	Experts  [][]int         `json:"held,omitempty"`
 	Choices  []byte          `json:"choices,omitempty"` // expert choices of one interval, by EncodeChoices
 	Sequence int64           `json:"sequence"`          // increases by 1 with each reading of the engine
 	Fence    mapswitch.Fence `json:"fence"`             // fence of the leader that the sender follows
@@ -152,7 +158,8 @@
 	Service string          `json:"service"`
 	Group   string          `json:"group"`
 	Fence   mapswitch.Fence `json:"fence"`
-	Open    bool            `json:"open"` // the group accepts requests
+	Rank    int             `json:"rank,omitempty"` // of the leader's own engine
+	Open    bool            `json:"open"`           // the group accepts requests
 	// Load is the share of the group's slots that requests use or wait for; above 1 if more wait
 	// than are free.
 	Load float64 `json:"load,omitempty"`
@@ -161,6 +168,16 @@
 	OpensInMS int `json:"opens_in_ms,omitempty"`
 	// SlowEngines lists the addresses of slow engines, which should get no requests.
 	SlowEngines []string `json:"slow,omitempty"`
+	// Discovering is set while a new leader does not know the states of all ranks. An earlier leader
+	// that is still there goes on assigning requests meanwhile.
+	Discovering bool `json:"discovering,omitempty"`
+}
+
+// LeaderSighting says that the sender has heard a leader.
+type LeaderSighting struct {
+	Host         string             `json:"host"` // name of the leader's host
+	Announcement LeaderAnnouncement `json:"announcement"`
+	AgeMS        int64              `json:"age_ms"` // time since the announcement arrived, in milliseconds
 }
 
 // Order asks a target daemon to pass an order to its engine.
@@ -171,10 +188,33 @@
 	Group   string          `json:"group"`
 	Engine  string          `json:"engine"`
 	Order   mapswitch.Order `json:"order"`
-	// Layout is the complete expert map of a prepare order, by EncodeLayout.
+	// Changes lead to the expert map of a prepare order.
+	Changes *expertlayout.Changes `json:"changes,omitempty"`
+	// Layout is the whole expert map of a prepare order, by expertlayout.Layout.Encode. It is used if the
+	// order has no changes.
 	Layout []byte `json:"layout,omitempty"`
 	// Relay lists further ranks to which the receiver forwards a prepare order.
 	Relay []RelayTo `json:"relay,omitempty"`
+	// Also lists further engines to which the receiver passes the same order.
+	Also []EngineOrder `json:"also,omitempty"`
+}
+
+// ForEachEngine returns the order for Engine and for each engine in Also.
+func (o Order) ForEachEngine() []Order {
+	also := o.Also
+	o.Also = nil
+	orders := []Order{o}
+	for _, e := range also {
+		o.Engine, o.ID = e.Engine, e.ID
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// EngineOrder is an engine to which an order is passed, with the ID of the order there.
+type EngineOrder struct {
+	Engine string `json:"engine"`
+	ID     int64  `json:"id"`
 }
 
 // RelayTo is a daemon to which an order is forwarded, with the engine and the order ID
@@ -189,6 +229,9 @@
 type OrderResult struct {
 	ID     int64            `json:"id"`
 	Result mapswitch.Result `json:"result"`
+	// UnknownBase is set if the order holds changes against an expert map that the receiver does not
+	// have. Nothing was done then, and there is no Result.
+	UnknownBase bool `json:"unknown_base,omitempty"`
 }
 
 // Strike passes on that a target died while it ran a request. The receiver sets
--- /dev/null
+++ b/targetd/rankagent/execution.go
@@ -0,0 +1,89 @@
+package rankagent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"camphormill.dev/parts/expertlayout"
+	"camphormill.dev/parts/mapswitch"
+	"camphormill.dev/parts/mesh"
+)
+
+// layoutStore holds the expert layouts that a daemon knows. It is safe for concurrent use.
+type layoutStore struct {
+	mu    sync.Mutex
+	known expertlayout.Known
+}
+
+func (s *layoutStore) add(l expertlayout.Layout) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known.Add(l)
+}
+
+func (s *layoutStore) apply(c expertlayout.Changes) (expertlayout.Layout, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known.Apply(c)
+}
+
+// executeOrder passes an order of the leader to an engine and sends the result to o.Leader. An
+// order with a fence below the highest known one is answered with Fenced, and one with changes against
+// an unknown layout with UnknownBase. If the engine does not answer, nothing is sent.
+func (a *Agent) executeOrder(from mesh.Host, o mesh.Order) {
+	a.mu.Lock()
+	fenced := o.Order.Fence < a.announced.Fence
+	a.mu.Unlock()
+	if fenced {
+		a.config.Mesh.Send(o.Leader, mesh.Message{OrderResult: &mesh.OrderResult{ID: o.ID, Result: mapswitch.Fenced}})
+		return
+	}
+	a.relay(o)
+	layout, err := a.decodeLayout(o)
+	var unknown *expertlayout.UnknownBaseError
+	switch {
+	case errors.As(err, &unknown):
+		a.config.Log.Info().Err(err).Str("leader", from.Name).Int64("map", int64(o.Order.Version)).Msg("order refused; it changes an unknown layout")
+		a.config.Mesh.Send(o.Leader, mesh.Message{OrderResult: &mesh.OrderResult{ID: o.ID, UnknownBase: true}})
+		return
+	case err != nil:
+		a.config.Log.Warn().Err(err).Str("leader", from.Name).Msg("order could not be decoded and is dropped")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	result, err := a.config.Engine.Order(ctx, o.Engine, o.Order, layout)
+	if err != nil {
+		a.config.Log.Debug().Err(err).Str("order", string(o.Order.Kind)).Msg("engine did not answer the order; the leader repeats it")
+		return
+	}
+	a.config.Log.Debug().Str("order", string(o.Order.Kind)).Int64("map", int64(o.Order.Version)).
+		Int64("pass", int64(o.Order.Pass)).Int64("fence", int64(o.Order.Fence)).Str("result", string(result)).Msg("order sent to the engine")
+	a.config.Mesh.Send(o.Leader, mesh.Message{OrderResult: &mesh.OrderResult{ID: o.ID, Result: result}})
+}
+
+// relay forwards a prepare order to the ranks on its relay list.
+func (a *Agent) relay(o mesh.Order) {
+	for _, to := range o.Relay {
+		relayed := o
+		relayed.ID, relayed.Engine, relayed.Relay = to.ID, to.Engine, nil
+		a.config.Mesh.Send(to.Host, mesh.Message{Order: &relayed})
+	}
+}
+
+// decodeLayout returns the layout of a prepare order. For an order of another kind it returns nil.
+func (a *Agent) decodeLayout(o mesh.Order) (expertlayout.Layout, error) {
+	switch {
+	case o.Changes != nil:
+		return a.layouts.apply(*o.Changes)
+	case o.Order.Kind != mapswitch.Prepare:
+		return nil, nil
+	}
+	layout, err := expertlayout.Decode(o.Layout)
+	if err == nil {
+		a.layouts.add(layout)
+	}
+	return layout, err
+}
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"camphormill.dev/parts/expertlayout"
 	"camphormill.dev/parts/mapswitch"
 	"camphormill.dev/parts/mesh"
 	"camphormill.dev/parts/popularity"
@@ -14,38 +15,18 @@
 )
 
 const (
-	// announceInterval is the interval between the leader's announcements, about a third of
+	// baseAnnounceInterval is the interval between the leader's announcements, about a third of
 	// baseLeaderTimeout. announceIntervalPerRank is added for each rank of the group.
-	announceInterval        = 150 * time.Millisecond
+	baseAnnounceInterval    = 150 * time.Millisecond
 	announceIntervalPerRank = 2 * time.Millisecond
-	// relayFanout is the number of ranks that one prepare message serves: its receiver and the
-	// ranks to which the receiver relays the order. In a large group the leader's link would
-	// take too long to send a message to every rank.
-	relayFanout = 8
-	// maxReportAge is the age up to which a rank's report counts as fresh. Decisions that
-	// need all ranks require fresh reports.
-	maxReportAge = 600 * time.Millisecond
-	// directReadAfter is the time without a report after which the leader reads a rank's
-	// engine itself, and directReadInterval the interval between such reads. Reading a remote
-	// engine has a cost.
-	directReadAfter    = 300 * time.Millisecond
+	// maxAnnounceInterval bounds the interval. Entries may miss one announcement.
+	maxAnnounceInterval = 400 * time.Millisecond
+	// directReadInterval is the interval at which the leader reads the engine of a rank whose daemon is
+	// silent. Reading a remote engine has a cost.
 	directReadInterval = 250 * time.Millisecond
 	// otherGroupReadInterval is the interval for an engine that belonged to another group. Groups
 	// are formed again rarely, and the daemon of a rank that has joined reports by itself.
 	otherGroupReadInterval = 10 * time.Second
-	// orderRetryInterval is the time after which an unanswered order is sent again.
-	orderRetryInterval = 60 * time.Millisecond
-	// prepareRetryInterval is the time after which an unanswered prepare order is sent again.
-	// Copying the weights takes some tenths of a second.
-	prepareRetryInterval = 400 * time.Millisecond
-	// directOrderAfter is the time after which the leader sends an unanswered order directly
-	// to the engine, because the daemon in between may be down.
-	directOrderAfter = 200 * time.Millisecond
-	// prepareTimeout bounds the copying of weights for one switch.
-	prepareTimeout = 2500 * time.Millisecond
-	// holdTimeout bounds the Holding and the Arming phase of a switch, in which the group may
-	// have to wait until all ranks are armed.
-	holdTimeout = 500 * time.Millisecond
 	// longPassThreshold is the mean pass duration above which tightSkewTarget applies. It is half
 	// of the longest pause between events that users accept.
 	longPassThreshold = 60 * time.Millisecond
@@ -53,9 +34,12 @@
 	// larger than largeGroupSize. The experts of a large group are small and many, and its passes
 	// have no spare time to absorb a shift of demand.
 	tightSkewTarget = 1.15
-	// discoveryGracePeriod is how long a new leader may take to receive the first reports.
-	// Until then it does not announce to entries that the group is closed.
+	// discoveryGracePeriod is how long a new leader may take to receive the first reports of all ranks,
+	// with discoveryPerRank for each of them. Until then it does not announce itself to entries.
 	discoveryGracePeriod = 400 * time.Millisecond
+	discoveryPerRank     = 3 * time.Millisecond
+	// maxMissingShare is the reciprocal of the share of the ranks whose reports may be missing.
+	maxMissingShare = 32
 	// minSkewGain is the least reduction of skew, averaged over the sets of layers, for which a
 	// switch starts. For a smaller reduction, copying weights slows passes more than the new map
 	// speeds them up.
@@ -72,47 +56,56 @@
 // lock mu, some through a method that they call, and are safe for concurrent use. For all other
 // methods the caller holds mu.
 type leader struct {
-	config   Config
-	group    string
-	settings routes.Engine
-	log      zerolog.Logger
+	config       Config
+	group        string
+	ownRank      int
+	settings     routes.Engine
+	knownLayouts *layoutStore
+	log          zerolog.Logger
 
 	mu             sync.Mutex         // guards the fields below
 	claimFence     mapswitch.Fence    // fence of this leader's claim
 	nextFence      mapswitch.Fence    // fence of the next switch
 	superseded     bool               // a rank or an engine has seen a higher fence than this leader's
+	retireAt       time.Time          // end of the time after a successor's claim; zero without one
+	discovered     bool               // the states of all ranks are known, or the time for that is over
 	ranks          map[int]rankReport // latest report by rank
 	scheduler      *rankscheduler.Scheduler
 	requesterHosts map[string]string // host by request ID
 	demand         popularity.Estimate
 	newChoices     [][]float64 // choices since the last update of demand, by set and expert
 	announcedAt    time.Time   // of the last announcement; zero makes the next one due
+	announceNext   int         // index of the host to which a large group's leader announces itself next
 	open           bool        // the group accepts requests
 	outages        outages
 	slowEngines    []string // engines that are too slow to receive requests
 	limitedEngines []string // engines that name a rate limit
 
-	current        *mapswitch.Switch // nil between two switches
-	layouts        [][][]int         // layouts of the current switch, by set and rank
-	encodedLayouts []byte            // layouts, by mesh.EncodeLayout
-	phaseStart     time.Time
-	phase          mapswitch.Phase   // phase of the current switch that began at phaseStart
-	sentOrders     map[int]sentOrder // last order of the phase that was sent, by rank
-	lastOrderID    int64
-	plannedSkew    float64 // expected skew under layouts, mean over the sets of layers
+	current     *mapswitch.Switch   // nil between two switches
+	layout      expertlayout.Layout // of the current or last switch
+	layoutMap   mapswitch.Version   // map with layout
+	layoutEpoch int64
+	changes     expertlayout.Changes // that lead from the map in force to layout
+	orderLink   linkShare            // use of the leader's link by prepare orders
+	phaseStart  time.Time
+	phase       mapswitch.Phase   // phase of the current switch that began at phaseStart
+	sentOrders  map[int]sentOrder // last order of the phase that was sent, by rank
+	lastOrderID int64
+	plannedSkew float64 // expected skew under layouts, mean over the sets of layers
 	// awaitedMap is the map of the last switch, 0 if that was rolled back. Until every rank has
 	// begun a pass under it, reported layouts may still be those of the old map.
 	awaitedMap    mapswitch.Version
 	switchEndedAt time.Time
+	rolledBack    int // switches that were rolled back one after the other
 	startedAt     time.Time
 	passDurations passDurations
 	directReadAt  map[string]time.Time // start of the last direct read, by host name
 	otherGroup    map[string]bool      // hosts whose engines belonged to another group at the last direct read, by name
 }
 
-func newLeader(c Config, group string, fence mapswitch.Fence, settings routes.Engine) *leader {
+func newLeader(c Config, group string, rank int, fence mapswitch.Fence, settings routes.Engine, layouts *layoutStore) *leader {
 	return &leader{
-		config: c, group: group, settings: settings, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(),
+		config: c, group: group, ownRank: rank, settings: settings, knownLayouts: layouts, orderLink: linkShare{bytesPerSecond: orderLinkShare * c.LinkBytesPerSecond}, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(),
 		requesterHosts: map[string]string{}, sentOrders: map[int]sentOrder{}, directReadAt: map[string]time.Time{}, otherGroup: map[string]bool{}, startedAt: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
 	}
 }
@@ -123,14 +116,43 @@
 	return l.superseded
 }
 
+// retire makes the leader give no more orders and send no more announcements, because another daemon has
+// claimed the leadership. For retireTime at most it goes on assigning requests to the ranks as it last knew
+// them, while its successor learns their states.
+func (l *leader) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retireAt.IsZero() {
+		l.retireAt = l.config.Now().Add(retireTime)
+		l.current = nil
+	}
+}
+
+func (l *leader) isRetiring() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.retireAt.IsZero()
+}
+
+// hasRetired reports whether the time after a successor's claim is over.
+func (l *leader) hasRetired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.retireAt.IsZero() && l.config.Now().After(l.retireAt)
+}
+
 // tick runs the leader's periodic work. The agent calls it at each readInterval.
 func (l *leader) tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
-	l.announce(now)
+	if !l.retireAt.IsZero() {
+		l.sendDecisions(l.scheduler.Dispatch(now))
+		return
+	}
 	l.readSilentEngines(now)
 	l.updateRanks(now)
+	l.announce(now)
 	l.sendDecisions(l.scheduler.Dispatch(now))
 	l.sendDecisions(l.scheduler.MoveOffSlowRanks(now))
 	l.releaseOrphanedHolds(now)
@@ -141,26 +163,85 @@
 	l.advanceSwitch(now)
 }
 
-// announce tells all daemons which daemon leads the group, if the announcement is due.
+// isLarge reports whether the group is so large that the leader's messages are spread over time.
+func (l *leader) isLarge() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ranks) > largeGroupSize
+}
+
+// sendPaced sends what the leader of a large group spreads over time. The agent calls it at each
+// paceInterval between two ticks.
+func (l *leader) sendPaced() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.retireAt.IsZero() {
+		return
+	}
+	l.announceToSome()
+	if l.phase == mapswitch.Preparing {
+		l.advanceSwitch(l.config.Now())
+	}
+}
+
+// announce tells all daemons which daemon leads the group, if the announcement is due. The leader of a
+// large group announces itself to all only at first, and when it knows the ranks.
 func (l *leader) announce(now time.Time) {
-	if now.Sub(l.announcedAt) < announceInterval+announceIntervalPerRank*time.Duration(len(l.ranks)) {
+	first := l.announcedAt.IsZero()
+	if !first && (len(l.ranks) > largeGroupSize || now.Sub(l.announcedAt) < l.announceInterval()) {
 		return
 	}
 	l.announcedAt = now
-	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{Service: l.config.Service, Group: l.group, Fence: l.claimFence, Open: l.open, Load: l.scheduler.Load(), OpensInMS: int(l.outages.opensIn(now).Milliseconds()), SlowEngines: l.slowEngines}}
-	roles := []mesh.Role{mesh.RoleTarget, mesh.RoleEntry}
-	if !l.open && !l.hasBeenOpen() && now.Sub(l.startedAt) < discoveryGracePeriod {
-		roles = roles[:1] // entries would refuse requests of a group that may be open
+	l.announceTo(l.announcedHosts())
+}
+
+// announceInterval returns the interval between the announcements to the same host.
+func (l *leader) announceInterval() time.Duration {
+	return min(baseAnnounceInterval+announceIntervalPerRank*time.Duration(len(l.ranks)), maxAnnounceInterval)
+}
+
+// announceToSome announces the leader of a large group to the hosts whose turn it is.
+func (l *leader) announceToSome() {
+	hosts := l.announcedHosts()
+	steps := max(int(l.announceInterval()/paceInterval*4/5), 1) // one in five is a tick instead
+	due := make([]mesh.Host, 0, len(hosts)/steps+1)
+	for range (len(hosts) + steps - 1) / steps {
+		l.announceNext = (l.announceNext + 1) % len(hosts)
+		due = append(due, hosts[l.announceNext])
 	}
-	for _, role := range roles {
-		for _, h := range l.config.Mesh.Known(role) {
-			l.config.Mesh.Send(h.Name, m)
-		}
+	l.announceTo(due)
+}
+
+// announcedHosts returns the hosts to which the leader announces itself. Entries hear of a leader that
+// does not know the states of all ranks yet only when it does: they would refuse requests of a group that
+// may be open, or send them to the few ranks that the leader knows.
+func (l *leader) announcedHosts() []mesh.Host {
+	hosts := l.config.Mesh.Known(mesh.RoleTarget)
+	if l.discovered {
+		hosts = append(hosts, l.config.Mesh.Known(mesh.RoleEntry)...)
+	}
+	return hosts
+}
+
+func (l *leader) announceTo(hosts []mesh.Host) {
+	m := mesh.Message{LeaderAnnouncement: &mesh.LeaderAnnouncement{
+		Service: l.config.Service, Group: l.group, Fence: l.claimFence, Rank: l.ownRank, Open: l.open, Load: l.scheduler.Load(),
+		OpensInMS: int(l.outages.opensIn(l.config.Now()).Milliseconds()), SlowEngines: l.slowEngines, Discovering: !l.discovered,
+	}}
+	for _, h := range hosts {
+		l.config.Mesh.Send(h.Name, m)
 	}
 }
 
-// hasBeenOpen reports whether this leader has seen its group open.
-func (l *leader) hasBeenOpen() bool { return l.open || !l.outages.closedAt.IsZero() }
+// announceChange announces a change at once to those that need it.
+func (l *leader) announceChange() {
+	if len(l.ranks) > largeGroupSize && l.discovered {
+		l.announceTo(l.config.Mesh.Known(mesh.RoleEntry))
+		return
+	}
+	l.announcedAt = time.Time{}
+	l.announce(l.config.Now())
+}
 
 // handle processes a message from another daemon to the leader.
 func (l *leader) handle(from mesh.Host, m mesh.Message) {
--- a/targetd/rankagent/network_test.go
+++ b/targetd/rankagent/network_test.go
@@ -36,8 +36,10 @@
 	received           chan []byte
 	closed             chan struct{}
 	sentBytes          int
-	dropped            int       // datagrams lost because too many waited
-	cutUntil           time.Time // until then, all datagrams from and to the host are lost
+	dropped            int            // datagrams lost because too many waited
+	deafTo             netip.AddrPort // datagrams from this host are lost until deafUntil
+	deafUntil          time.Time
+	heldUntil          time.Time // until then, the host's daemon is paused and datagrams wait
 }
 
 func newNetwork(seed uint64, loss float64) *network {
@@ -56,6 +58,7 @@
 		Receive: func(buffer []byte) (int, error) {
 			select {
 			case datagram := <-l.received:
+				n.awaitResume(l)
 				return copy(buffer, datagram), nil
 			case <-l.closed:
 				return 0, net.ErrClosed
@@ -95,7 +98,7 @@
 	bytes := len(datagram) + datagramOverhead
 	from.sentBytes += bytes
 	sent, fits := from.occupy(now, &from.sendFree, bytes)
-	if !ok || !fits || n.rand.Float64() < n.loss || now.Before(from.cutUntil) || now.Before(receiver.cutUntil) {
+	if !ok || !fits || n.rand.Float64() < n.loss || (now.Before(receiver.deafUntil) && n.links[receiver.deafTo] == from) {
 		return
 	}
 	time.AfterFunc(sent.Add(linkDelay).Sub(now), func() { n.arrive(receiver, datagram) })
@@ -126,9 +129,25 @@
 	return l.sentBytes, l.dropped
 }
 
-// cut loses all datagrams from and to a host for some time.
-func (n *network) cut(address string, duration time.Duration) {
+// deafen loses all datagrams from one host to another for some time.
+func (n *network) deafen(address, from string, duration time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.links[netip.MustParseAddrPort(address)].cutUntil = time.Now().Add(duration)
+	l := n.links[netip.MustParseAddrPort(address)]
+	l.deafTo, l.deafUntil = netip.MustParseAddrPort(from), time.Now().Add(duration)
+}
+
+// hold makes the datagrams to a host wait for some time, as while its daemon is paused.
+func (n *network) hold(address string, duration time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[netip.MustParseAddrPort(address)].heldUntil = time.Now().Add(duration)
+}
+
+// awaitResume waits until a daemon is no longer paused.
+func (n *network) awaitResume(l *link) {
+	n.mu.Lock()
+	held := time.Until(l.heldUntil)
+	n.mu.Unlock()
+	time.Sleep(held)
 }
--- a/targetd/rankagent/passduration.go
+++ b/targetd/rankagent/passduration.go
@@ -16,8 +16,9 @@
 
 const (
 	// orderDuration is the time to hold a pass and arm all ranks for it: two messages and two
-	// orders of about 15 ms each.
-	orderDuration = 60 * time.Millisecond
+	// orders of about 15 ms each. orderDurationPerRank is added for each rank of a large group.
+	orderDuration        = 60 * time.Millisecond
+	orderDurationPerRank = 500 * time.Microsecond
 	// defaultPassDuration is assumed before any pass duration was measured.
 	defaultPassDuration = 40 * time.Millisecond
 	// longPassFactor is the number of orderDurations from which passesAhead counts a pass as
@@ -45,16 +46,20 @@
 }
 
 // passesAhead returns how many passes after the newest known one the pass should be that a switch
-// holds, given the minimum duration of a pass. This is the number of passes that begin within
+// holds, given the minimum duration of a pass and the number of ranks. This is the number of passes that begin within
 // orderDuration, plus one that may begin in the meantime. Long passes omit that extra one: a
 // hold that arrives too late is refused, which costs less than another pass under the old map.
-func (p passDurations) passesAhead(minPass time.Duration) mapswitch.Pass {
+func (p passDurations) passesAhead(minPass time.Duration, ranks int) mapswitch.Pass {
+	duration := orderDuration
+	if ranks > largeGroupSize {
+		duration += orderDurationPerRank * time.Duration(ranks)
+	}
 	mean := max(p.mean, minPass)
 	if mean == 0 {
 		mean = defaultPassDuration
 	}
-	if mean >= longPassFactor*orderDuration {
+	if mean >= longPassFactor*duration {
 		return 1
 	}
-	return 1 + mapswitch.Pass((orderDuration+mean-1)/mean)
+	return 1 + mapswitch.Pass((duration+mean-1)/mean)
 }
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -31,15 +31,21 @@
 	l.storeReport(now, rankReport{host: host, rank: r, receivedAt: now})
 }
 
+// schedule returns the schedule of the ranks' reports.
+func (l *leader) schedule() reportSchedule {
+	return newReportSchedule(len(l.ranks), l.settings.Sets*l.settings.Experts, l.config.LinkBytesPerSecond)
+}
+
 // readSilentEngines reads the engines whose daemons are silent, so that a held pass does not
 // wait for a frozen host.
 func (l *leader) readSilentEngines(now time.Time) {
-	if now.Sub(l.startedAt) < directReadAfter {
+	silentAfter := l.schedule().silentAfter()
+	if now.Sub(l.startedAt) < silentAfter {
 		return
 	}
 	reporting := map[string]bool{l.config.Self.Name: true}
 	for _, r := range l.ranks {
-		reporting[r.host] = reporting[r.host] || (!r.direct && now.Sub(r.receivedAt) < directReadAfter)
+		reporting[r.host] = reporting[r.host] || (!r.direct && now.Sub(r.receivedAt) < silentAfter)
 	}
 	for _, h := range l.config.Mesh.Known(mesh.RoleTarget) {
 		interval := directReadInterval
@@ -53,8 +59,7 @@
 	}
 }
 
-// readEngine reads the engine of a silent daemon and stores the result as the rank's report. It
-// keeps the experts of the previous report if map and epoch are the same.
+// readEngine reads the engine of a silent daemon and stores the result as the rank's report.
 func (l *leader) readEngine(h mesh.Host) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
@@ -71,7 +76,7 @@
 	}
 	now := l.config.Now()
 	old, known := l.ranks[r.Rank]
-	if known && !old.direct && now.Sub(old.receivedAt) < directReadAfter {
+	if known && !old.direct && now.Sub(old.receivedAt) < l.schedule().silentAfter() {
 		return // its daemon has reported in the meantime
 	}
 	if !known || !old.direct {
@@ -81,14 +86,22 @@
 		Service: l.config.Service, Engine: h.Engine, Group: r.Group, Rank: r.Rank, Size: r.Size, Open: r.Open,
 		View: r.View, Queued: r.Queued, Active: r.Active, Slowdown: r.Slowdown,
 	}
-	if known && old.rank.View.Map == r.View.Map && old.rank.View.Epoch == r.View.Epoch {
-		rank.Experts = old.rank.Experts
-	}
 	l.storeReport(now, rankReport{host: h.Name, rank: rank, receivedAt: now, direct: true})
 }
 
-// storeReport stores the latest report of a rank and applies it to the current switch.
+// storeReport stores the latest report of a rank and applies it to the current switch. A report without
+// experts keeps those of the previous one if map and epoch are the same, or gets those of the map that this
+// leader has put in force.
 func (l *leader) storeReport(now time.Time, report rankReport) {
+	old, known := l.ranks[report.rank.Rank]
+	if view := report.rank.View; report.rank.Experts == nil {
+		if known && old.rank.View.Map == view.Map && old.rank.View.Epoch == view.Epoch {
+			report.rank.Experts = old.rank.Experts
+		}
+		if report.rank.Experts == nil && view.Map != 0 && view.Map == l.layoutMap && view.Epoch == l.layoutEpoch {
+			report.rank.Experts = l.layout.OfRank(report.rank.Rank)
+		}
+	}
 	l.ranks[report.rank.Rank] = report
 	l.passDurations = l.passDurations.withPass(now, report.rank.View.Pass)
 	if l.current != nil {
@@ -140,10 +153,10 @@
 	if size == 0 || len(l.ranks) < size {
 		return false
 	}
-	epoch := l.ranks[0].rank.View.Epoch
+	epoch, maxAge := l.ranks[0].rank.View.Epoch, l.schedule().maxReportAge()
 	for i := range size {
 		r, ok := l.ranks[i]
-		if !ok || r.rank.Down || now.Sub(r.receivedAt) > maxReportAge || r.rank.View.Epoch != epoch {
+		if !ok || r.rank.Down || now.Sub(r.receivedAt) > maxAge || r.rank.View.Epoch != epoch {
 			return false
 		}
 	}
@@ -166,14 +179,14 @@
 			delete(l.ranks, i) // the group was formed again with fewer ranks
 		}
 	}
-	zones := l.zones()
+	zones, maxAge := l.zones(), l.schedule().maxReportAge()
 	var usable []rankscheduler.Rank
 	for _, i := range sortedRanks(l.ranks) {
 		r := l.ranks[i]
 		if r.rank.Down && r.rank.View.Epoch < epoch {
 			continue // the group was formed again without it
 		}
-		if now.Sub(r.receivedAt) < maxReportAge {
+		if now.Sub(r.receivedAt) < maxAge {
 			fresh++
 			open = open && r.rank.Open && !r.rank.Down
 		}
@@ -182,11 +195,13 @@
 		}
 	}
 	open = open && fresh > 0
+	if !l.discovered {
+		l.updateDiscovered(now, fresh)
+	}
 	if open != l.open {
 		l.open, l.outages = open, l.outages.withState(now, open)
 		l.log.Info().Bool("open", open).Int64("epoch", epoch).Int("ranks", len(usable)).Dur("opens_in", l.outages.opensIn(now)).Msg("group state changed")
-		l.announcedAt = time.Time{}
-		l.announce(now)
+		l.announceChange()
 	}
 	if !open {
 		usable = nil
@@ -198,17 +213,32 @@
 	}
 	if slow := l.scheduler.SlowEngines(); !slices.Equal(slow, l.slowEngines) {
 		l.log.Info().Strs("slow", slow).Strs("before", l.slowEngines).Msg("set of ranks too slow for requests changed")
-		l.slowEngines, l.announcedAt = slow, time.Time{}
-		l.announce(now)
+		l.slowEngines = slow
+		l.announceChange()
+	}
+}
+
+// updateDiscovered sets discovered when there are fresh reports of nearly all ranks, or the time for that is
+// over. The daemon of the last leader may be gone, and a few reports lost. The next announcement then goes
+// to all daemons at once.
+func (l *leader) updateDiscovered(now time.Time, fresh int) {
+	size := 0
+	for _, r := range l.ranks {
+		size = max(size, r.rank.Size)
+	}
+	overdue := now.Sub(l.startedAt) >= discoveryGracePeriod+discoveryPerRank*time.Duration(size)
+	if l.discovered = overdue || (size > 0 && fresh >= size-1-size/maxMissingShare); l.discovered {
+		l.log.Info().Int("ranks", fresh).Int("size", size).Dur("took", now.Sub(l.startedAt)).Msg("ranks of the group discovered")
+		l.announcedAt = time.Time{}
 	}
 }
 
 // minPassDuration returns the minimum duration of a pass, which is that of a pass without requests
 // at the slowest rank, since all ranks wait for it.
 func (l *leader) minPassDuration(now time.Time) time.Duration {
-	slowdown := 1.0
+	slowdown, maxAge := 1.0, l.schedule().maxReportAge()
 	for _, r := range l.ranks {
-		if now.Sub(r.receivedAt) < maxReportAge {
+		if now.Sub(r.receivedAt) < maxAge {
 			slowdown = max(slowdown, r.rank.Slowdown)
 		}
 	}
--- a/targetd/rankagent/switching.go
+++ b/targetd/rankagent/switching.go
@@ -1,24 +1,29 @@
 package rankagent
 
 import (
-	"context"
 	"slices"
 	"time"
 
+	"camphormill.dev/parts/expertlayout"
 	"camphormill.dev/parts/mapswitch"
-	"camphormill.dev/parts/mesh"
 	"camphormill.dev/parts/placement"
 )
 
-// sentOrder is an order that was sent to a rank in the current phase of the switch.
-type sentOrder struct {
-	id          int64 // ID of the last message with the order
-	order       mapswitch.Order
-	sentAt      time.Time
-	firstSentAt time.Time
-	// accepted means that the engine has accepted the order and works on it.
-	accepted bool
-}
+const (
+	// prepareTimeout bounds the copying of weights for one switch.
+	prepareTimeout = 2500 * time.Millisecond
+	// holdTimeout bounds the Holding and the Arming phase of a switch, in which the group may
+	// have to wait until all ranks are armed. holdTimeoutPerRank is added for each rank.
+	holdTimeout        = 500 * time.Millisecond
+	holdTimeoutPerRank = time.Millisecond
+	// freeRollbacks is the number of switches that may be rolled back one after the other before the
+	// next waits for rollbackPauseBase, and twice as long after each further one, up to
+	// maxRollbackPause.
+	freeRollbacks     = 2
+	rollbackPauseBase = 2 * time.Second
+	maxRollbackPause  = 16 * time.Second
+	maxPauseDoublings = 10 // reaches maxRollbackPause
+)
 
 // releaseOrphanedHolds releases passes that an earlier leader or a late order left held. It starts
 // a rollback of the switch to which they belong.
@@ -53,7 +58,7 @@
 		}
 	}
 	c := mapswitch.Config{
-		Fence: l.nextFence, Epoch: l.ranks[0].rank.View.Epoch, Ranks: len(l.ranks), Version: version, Holder: holder, HoldAhead: l.passDurations.passesAhead(l.minPassDuration(l.config.Now())),
+		Fence: l.nextFence, Epoch: l.ranks[0].rank.View.Epoch, Ranks: len(l.ranks), Version: version, Holder: holder, HoldAhead: l.passDurations.passesAhead(l.minPassDuration(l.config.Now()), len(l.ranks)),
 	}
 	l.nextFence += fencesPerSwitch
 	return c
@@ -65,10 +70,11 @@
 	l.sentOrders = map[int]sentOrder{}
 }
 
-// planSwitch starts a switch when the skew of the current layouts is too high for the demand.
+// planSwitch starts a switch when the skew of the current layouts is too high for the demand. A switch
+// whose orders would take too long on the leader's link copies fewer experts. Another one follows it.
 func (l *leader) planSwitch(now time.Time) {
 	shares := l.demand.Shares()
-	if shares == nil || !l.open || !l.allReportsFresh(now) || !l.lastSwitchSettled(now) {
+	if shares == nil || !l.open || !l.allReportsFresh(now) || !l.lastSwitchSettled(now) || now.Sub(l.switchEndedAt) < rollbackPause(l.rolledBack) {
 		return
 	}
 	current, ok := l.currentLayouts()
@@ -86,34 +92,66 @@
 		version = max(version, r.rank.View.Map, r.rank.View.Prepared, r.rank.View.Armed)
 	}
 	planStart := time.Now() // real time, for the log only
-	var before, after float64
-	planned := make([]placement.Layout, len(current))
-	fetchedExperts := 0
+	plan := l.balance(current, shares, speeds, skewTarget, nil)
+	if plan.before-plan.after < minSkewGain {
+		return
+	}
+	if most := l.maxChanges(); most > 0 && plan.copies > most {
+		limits := make([]int, len(plan.fetched)) // each set keeps its share of the copies
+		for s, n := range plan.fetched {
+			limits[s] = max(n*most/plan.copies, 1)
+		}
+		plan = l.balance(current, shares, speeds, skewTarget, limits)
+	}
+	base := make(expertlayout.Layout, len(current))
+	for s := range current {
+		base[s] = current[s]
+	}
+	l.layout = plan.layout.Sorted()
+	l.changes = expertlayout.Diff(base, l.layout, l.settings.Experts)
+	l.knownLayouts.add(base)
+	l.knownLayouts.add(l.layout)
+	l.plannedSkew = plan.after
+	l.log.Info().Float64("skew", plan.before).Float64("skew_planned", plan.after).Int("copies", plan.copies).Int64("map", int64(version+1)).
+		Int("bytes", len(l.changes.Encoded)).Uint64("base", uint64(l.changes.Base)).
+		Dur("pass", l.passDurations.mean).
+		Dur("took", time.Since(planStart)).Msg("switch of the expert map started")
+	config := l.switchConfig(version + 1)
+	l.layoutMap, l.layoutEpoch = config.Version, config.Epoch
+	l.startSwitch(now, mapswitch.New(config))
+}
+
+// balancePlan is a layout for the demand, with its skew and that of the layout in force, means over the sets.
+type balancePlan struct {
+	layout        expertlayout.Layout
+	fetched       []int // experts that ranks copy, by set
+	copies        int   // sum of fetched
+	before, after float64
+}
+
+// balance plans a layout that reduces the skew of each set to the target. limits, if not nil, bounds the
+// experts that are copied, by set.
+func (l *leader) balance(current []placement.Layout, shares [][]float64, speeds []float64, skewTarget float64, limits []int) balancePlan {
+	sets := float64(len(current))
+	plan := balancePlan{layout: make(expertlayout.Layout, len(current)), fetched: make([]int, len(current))}
 	for s := range current {
 		p := placement.Problem{Loads: shares[s], Speeds: speeds, ExpertSlots: l.settings.ExpertSlots, Ranks: len(l.ranks)}
 		skew := p.Skew(current[s])
-		before += skew / float64(len(current))
-		planned[s] = current[s]
+		plan.before += skew / sets
+		plan.layout[s] = current[s]
 		if skew > skewTarget {
-			b := placement.Balance(p, current[s], placement.BalanceConfig{TargetSkew: skewTarget, MaxFetches: l.settings.SpareExpertSlots})
-			planned[s], skew = b.Layout, b.Skew
-			fetchedExperts += b.Fetched
+			config := placement.BalanceConfig{TargetSkew: skewTarget, MaxFetches: l.settings.SpareExpertSlots}
+			if limits != nil {
+				config.MaxTotalFetches = max(limits[s], 1)
+			}
+			b := placement.Balance(p, current[s], config)
+			plan.layout[s], skew = b.Layout, b.Skew
+			plan.fetched[s] = b.Fetched
+			plan.copies += b.Fetched
 		}
-		after += skew / float64(len(current))
+		plan.after += skew / sets
 	}
-	if before-after < minSkewGain {
-		return
-	}
-	l.layouts = make([][][]int, len(planned))
-	for s := range planned {
-		l.layouts[s] = planned[s]
-	}
-	l.encodedLayouts = mesh.EncodeLayout(l.layouts)
-	l.plannedSkew = after
-	l.log.Info().Float64("skew", before).Float64("skew_planned", after).Int("copies", fetchedExperts).Int64("map", int64(version+1)).
-		Dur("pass", l.passDurations.mean).
-		Dur("took", time.Since(planStart)).Msg("switch of the expert map started")
-	l.startSwitch(now, mapswitch.New(l.switchConfig(version+1)))
+	return plan
 }
 
 // relativeSpeed returns the share of expert work for a rank, relative to a rank of normal
@@ -187,8 +225,9 @@
 	if l.phase == mapswitch.Finished {
 		l.log.Info().Int64("map", int64(l.current.Version())).Bool("undone", l.current.RolledBack()).Float64("skew_planned", l.plannedSkew).Msg("switch ended")
 		l.awaitedMap, l.switchEndedAt = 0, now
+		l.rolledBack++
 		if !l.current.RolledBack() {
-			l.awaitedMap = l.current.Version()
+			l.awaitedMap, l.rolledBack = l.current.Version(), 0
 		}
 		l.current = nil
 		return
@@ -196,140 +235,24 @@
 	l.sendOrders(now, l.current.Orders())
 }
 
-// sendOrders sends the orders that are due. Prepare orders of a large group are relayed by
-// some of its ranks.
-func (l *leader) sendOrders(now time.Time, orders map[int]mapswitch.Order) {
-	var relayed []mesh.Order
-	for _, rank := range sortedRanks(l.ranks) {
-		o, ok := orders[rank]
-		if !ok {
-			continue
-		}
-		if to, m := l.nextOrder(now, rank, o); to != "" && o.Kind == mapswitch.Prepare && len(l.ranks) > largeGroupSize {
-			m.Relay = []mesh.RelayTo{{Host: to}} // keeps the message's own receiver until the loop below
-			relayed = append(relayed, m)
-		} else if to != "" {
-			l.config.Mesh.Send(to, mesh.Message{Order: &m})
-		}
-	}
-	for len(relayed) > 0 {
-		n := min(len(relayed), relayFanout)
-		first := relayed[0]
-		to := first.Relay[0].Host
-		first.Relay = nil
-		for _, m := range relayed[1:n] {
-			first.Relay = append(first.Relay, mesh.RelayTo{Host: m.Relay[0].Host, Engine: m.Engine, ID: m.ID})
-		}
-		l.config.Mesh.Send(to, mesh.Message{Order: &first})
-		relayed = relayed[n:]
-	}
-}
-
+// phaseExpired reports whether the current phase takes so long that the switch is abandoned.
 func (l *leader) phaseExpired(now time.Time) bool {
 	elapsed := now.Sub(l.phaseStart)
 	switch l.phase {
 	case mapswitch.Preparing:
 		return elapsed > prepareTimeout
 	case mapswitch.Holding, mapswitch.Arming:
-		return elapsed > holdTimeout
+		return elapsed > holdTimeout+holdTimeoutPerRank*time.Duration(len(l.ranks))
 	}
 	return false
 }
 
-// nextOrder records an order to a rank, if it is due, and returns the message and the host that
-// receives it. The host is empty when no message is to be sent. If no other daemon passes on the
-// order, or it has been unanswered for more than directOrderAfter, nextOrder also starts to send it to
-// the engine directly.
-func (l *leader) nextOrder(now time.Time, rank int, o mapswitch.Order) (string, mesh.Order) {
-	previous, known := l.sentOrders[rank]
-	retryInterval := orderRetryInterval
-	if o.Kind == mapswitch.Prepare {
-		retryInterval = prepareRetryInterval
-	}
-	if known && previous.order == o && (previous.accepted || now.Sub(previous.sentAt) < retryInterval) {
-		return "", mesh.Order{}
-	}
-	firstSentAt := now
-	if known && previous.order == o {
-		firstSentAt = previous.firstSentAt
-	}
-	report, ok := l.ranks[rank]
-	if !ok {
-		return "", mesh.Order{}
-	}
-	l.lastOrderID++
-	sent := sentOrder{id: l.lastOrderID, order: o, sentAt: now, firstSentAt: firstSentAt}
-	l.sentOrders[rank] = sent
-	message := mesh.Order{ID: sent.id, Leader: l.config.Self.Name, Service: l.config.Service, Group: l.group, Engine: report.rank.Engine, Order: o}
-	to := l.executorHost(report, o.Kind, sent.id)
-	if to == "" || now.Sub(firstSentAt) > directOrderAfter {
-		go l.orderDirectly(rank, message, l.layouts)
-	}
-	if o.Kind == mapswitch.Prepare { // only another daemon needs the encoded layouts
-		message.Layout = l.encodedLayouts
-	}
-	return to, message
-}
-
-// executorHost returns the host whose daemon passes an order to the engine. It returns an
-// empty name when the leader sends the order itself. A prepare order goes to the daemon beside
-// the engine, unless that daemon is silent or the leader's own. All other orders go to an
-// entry, if one is alive: if a host froze after it had ordered its own engine, no other daemon
-// could see or roll back that order, since the engine beside the frozen daemon is unreachable
-// too. Entries have no engine beside them. The entry changes with every rankCount order IDs.
-func (l *leader) executorHost(report rankReport, kind mapswitch.Kind, id int64) string {
-	if kind == mapswitch.Prepare {
-		if report.direct || report.host == l.config.Self.Name {
-			return ""
-		}
-		return report.host
-	}
-	entries := l.config.Mesh.Alive(mesh.RoleEntry)
-	if len(entries) == 0 {
-		return ""
-	}
-	return entries[(int(id)/l.rankCount())%len(entries)].Name
-}
-
-// rankCount returns the number of ranks, at least one.
-func (l *leader) rankCount() int { return max(len(l.ranks), 1) }
-
-// orderDirectly sends an order to an engine without another daemon in between. If the engine does
-// not answer, advanceSwitch sends the order again.
-func (l *leader) orderDirectly(rank int, o mesh.Order, layout [][][]int) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	result, err := l.config.Engine.Order(ctx, o.Engine, o.Order, layout)
-	if err != nil {
-		l.log.Debug().Err(err).Int("rank", rank).Str("order", string(o.Order.Kind)).Msg("engine did not answer the order; retrying")
-		return
-	}
-	l.handleOrderResult(mesh.OrderResult{ID: o.ID, Result: result})
-}
-
-// handleOrderResult processes the result of an order. It ignores a result whose ID is not that of
-// the last order sent to some rank.
-func (l *leader) handleOrderResult(o mesh.OrderResult) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.current == nil {
-		return
-	}
-	for rank, sent := range l.sentOrders {
-		if sent.id != o.ID {
-			continue
-		}
-		if o.Result != mapswitch.Done {
-			l.log.Debug().Int("rank", rank).Str("order", string(sent.order.Kind)).Str("result", string(o.Result)).Msg("engine did not accept the order")
-		}
-		l.superseded = l.superseded || o.Result == mapswitch.Fenced
-		if o.Result == mapswitch.Done {
-			sent.accepted = true
-			l.sentOrders[rank] = sent
-		}
-		next := l.current.WithResult(rank, sent.order, o.Result)
-		l.current = &next
-		l.advanceSwitch(l.config.Now())
-		return
-	}
+// rollbackPause returns the time between the end of a switch and the start of the next after a number of
+// switches that were rolled back. A group whose switches fail keeps its map for longer and longer.
+func rollbackPause(rolledBack int) time.Duration {
+	if rolledBack < freeRollbacks {
+		return 0
+	}
+	doublings := min(rolledBack-freeRollbacks, maxPauseDoublings)
+	return min(rollbackPauseBase<<doublings, maxRollbackPause)
 }
