--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -26,6 +26,7 @@
 	"planned-stop":  plannedStop,
 	"empty-query":   emptyQuery,
 	"failed-resume": failedResume,
+	"power-loss":    powerLoss,
 }
 
 func main() {
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -9,16 +9,25 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // store is the platform's log, with partition 0 of each topic. It forgets nothing.
 type store struct {
-	mu     sync.Mutex
-	topics map[string][][]byte // records by topic
+	mu           sync.Mutex
+	topics       map[string][][]byte // records by topic
+	configReadAt time.Time           // of the last read of the configuration
 }
 
 func newStore() *store { return &store{topics: map[string][][]byte{}} }
 
+// lastConfigRead returns when the configuration was last read.
+func (s *store) lastConfigRead() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configReadAt
+}
+
 // put appends a record with a key; a nil value drops the key.
 func (s *store) put(topic, key string, value any) error {
 	record := append([]byte{byte(len(key))}, key...)
@@ -73,8 +82,12 @@
 }
 
 func (s *store) read(w http.ResponseWriter, r *http.Request) {
+	topic := r.URL.Query().Get("topic")
 	s.mu.Lock()
-	records := s.topics[r.URL.Query().Get("topic")]
+	records := s.topics[topic]
+	if topic == "keyed.op" {
+		s.configReadAt = time.Now()
+	}
 	s.mu.Unlock()
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	if err != nil || from < 0 || from > len(records) {
