--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -30,12 +30,10 @@
 		pieces = 48
 		gap    = 105 * time.Millisecond // below the pause of 120 ms that the users accept
 	)
-	models, plain, err := f.startTargets(3, 1, pieces, gap)
+	models, _, err := f.startTargets(3, 1, pieces, gap)
 	if err != nil {
 		return false, err
 	}
-	f.heartbeats(models)
-	f.heartbeats(plain)
 	if err := f.publish(); err != nil {
 		return false, err
 	}
@@ -86,7 +84,6 @@
 	if err != nil {
 		return false, err
 	}
-	f.heartbeats(plain)
 	if err := f.publish(); err != nil {
 		return false, err
 	}
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -100,13 +100,6 @@
 	return nil
 }
 
-// register writes the entry of a target to the registry.
-func (f *fleet) register(id, service, address string, slots int) error {
-	return f.store.put("keyed.servers", id, map[string]any{
-		"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
-	})
-}
-
 // publish writes a configuration with a stream route, one for calls that may not be repeated and one for
 // reads.
 func (f *fleet) publish() error {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -23,10 +23,11 @@
 type caseFunc func(f *fleet, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"planned-stop":  plannedStop,
-	"empty-query":   emptyQuery,
-	"failed-resume": failedResume,
-	"power-loss":    powerLoss,
+	"planned-stop":    plannedStop,
+	"empty-query":     emptyQuery,
+	"failed-resume":   failedResume,
+	"lapsed-registry": lapsedRegistry,
+	"power-loss":      powerLoss,
 }
 
 func main() {
--- a/review/driver/power.go
+++ b/review/driver/power.go
@@ -45,11 +45,10 @@
 // later than recoveryS after the machines are back, a quarter at least has to be served, since all were
 // before.
 func powerLoss(f *fleet, trouble bool) (bool, error) {
-	_, plain, err := f.startTargets(0, 2, 0, 0)
+	_, _, err := f.startTargets(0, 2, 0, 0)
 	if err != nil {
 		return false, err
 	}
-	f.heartbeats(plain)
 	if err := f.publish(); err != nil {
 		return false, err
 	}
--- a/review/driver/resume.go
+++ b/review/driver/resume.go
@@ -30,7 +30,6 @@
 		}
 		models[garbling].misbehave = failSome(models[garbling], 9, 20)
 	}
-	f.heartbeats(models)
 	if err := f.publish(); err != nil {
 		return false, err
 	}
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -17,6 +17,7 @@
 	mu           sync.Mutex
 	topics       map[string][][]byte // records by topic
 	configReadAt time.Time           // of the last read of the configuration
+	silent       bool                // no call is answered
 }
 
 func newStore() *store { return &store{topics: map[string][][]byte{}} }
@@ -44,7 +45,24 @@
 	return nil
 }
 
+// setSilent sets whether the store leaves all calls without an answer.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/log-append":
 		s.append(w, r)
--- a/review/driver/target.go
+++ b/review/driver/target.go
@@ -18,6 +18,7 @@
 	rank, ranks int // of a model server
 	fleet       *fleet
 	started     time.Time
+	seq         int // of the entry in the registry
 
 	running atomic.Int64
 
@@ -136,10 +137,10 @@
 func (f *fleet) startTargets(ranks, services, pieces int, gap time.Duration) (models, plain []*target, err error) {
 	for i := range ranks + services {
 		t := &target{fleet: f, started: time.Now(), id: fmt.Sprintf("i-model%d", i), service: drafts, rank: i, ranks: ranks, pieces: pieces, gap: gap}
-		octet, slots := octetTargets+i, 12
+		octet := octetTargets + i
 		if i >= ranks {
 			t.id, t.service = fmt.Sprintf("i-app%d", i-ranks), bookings
-			octet, slots = octetServices+i-ranks, 6
+			octet = octetServices + i - ranks
 			plain = append(plain, t)
 		} else {
 			models = append(models, t)
@@ -148,28 +149,23 @@
 		if err := f.serve(address, t); err != nil {
 			return nil, nil, err
 		}
-		if err := f.register(t.id, t.service, address, slots); err != nil {
+		if err := f.registerTarget(t, octet); err != nil {
 			return nil, nil, err
 		}
 	}
 	return models, plain, nil
 }
 
-// heartbeats renews the registry's entries until the run ends, as servers do.
-func (f *fleet) heartbeats(targets []*target) {
-	const interval = 1200 * time.Millisecond
-	go func() {
-		for n := 2; ; n++ {
-			time.Sleep(interval)
-			for i, t := range targets {
-				octet, slots := octetTargets+t.rank, 12
-				if t.service == bookings {
-					octet, slots = octetServices+i, 6
-				}
-				_ = f.store.put("keyed.servers", t.id, map[string]any{
-					"service": t.service, "address": f.address(octet, portEngine), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": n, "born": t.started.UnixMilli(),
-				})
-			}
-		}
-	}()
+// registerTarget writes the entry of a target to the registry. The heartbeats that follow change only its
+// seq, and so not the entry.
+func (f *fleet) registerTarget(t *target, octet int) error {
+	slots := 12
+	if t.service == bookings {
+		slots = 6
+	}
+	t.seq++
+	return f.store.put("keyed.servers", t.id, map[string]any{
+		"service": t.service, "address": f.address(octet, portEngine), "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": t.seq,
+		"born": t.started.UnixMilli(),
+	})
 }
