Don't append a response that doesn't resume a broken stream

What callers saw: a stream with status 200, a part of its events, then the text of an error, and a regular end.

Cause: once a stream has broken and is resumed, relayResponse treated the next target's response like a first one. Anything that is not a successful event stream was written with head and body to a caller who had a head already: net/http drops the second head, and the body ends the response regularly. Moved streams took the same path.

Ruled out: a broken response taken for whole (there is a second attempt); an error sent as an event stream (it has no type).

Change: after the head has been sent, only an event stream of the same status goes on with it. Other responses are dropped, another target is tried within the route's attempts and the retry budget, and if none resumes the stream, the connection is cut off. On the own protocol, a target that rejects the rest of a draft has not answered it: another target is tried, and the outcome is unknown, not done. A line, a reason and a counter tell such an end from a stream that could not be sent anywhere.

Why it works: the only way to a regular end after the head is finishEvents, of a response that resumes the stream.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -132,6 +132,7 @@
 	"answer_broken":      "a target's answer broke off; it may have run",
 	"response_too_large": "its target's answer exceeded the size limit and was cut off",
 	"stream_broken":      "its stream broke off and could not be resumed",
+	"resume_failed":      "its stream broke off and the last target that was to resume it answered with something else",
 	"timeout":            "its deadline passed while a target ran it; it may have run",
 	"timeout_waiting":    "its deadline passed before a target got it; it did not run",
 	"part_quarantined":   "a part of its prompt is suspected of crashing targets; it did not run",
--- a/camphormill/explain/explain_test.go
+++ b/camphormill/explain/explain_test.go
@@ -37,6 +37,7 @@
 `
 	for _, test := range []struct{ got, reason, verdict string }{
 		{"cut_off", "stream_broken", "its stream broke off and could not be resumed; a response that ends with its connection of target t1 ended early, inside event, by close, after 3 events to the caller, who got a cut-off response in the end"},
+		{"cut_off", "resume_failed", "its stream broke off and the last target that was to resume it answered with something else; a response"},
 		{"whole", "", "answered 200 by target t2; a response that ends with its connection of target t1 ended early, inside event, by close, after 3 events to the caller, who got a whole response in the end"},
 	} {
 		lines, _, err := explain.Read(strings.NewReader(fmt.Sprintf(log, test.got, test.reason)), "d1")
--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -107,6 +108,13 @@
 			"tokens of the answer were lost between its target and the entry", "send the request again"))
 		return true
 	}
+	if run.failedResume(answer) {
+		run.dispatcher.config.Logger.Warn().Str("attempt", call.Attempt).Str("target", target).Int("status", answer.Status).Int("emitted", run.next).
+			Msg("target did not resume the answer")
+		result.Answer = contract.UnknownAnswer(contract.NewFailure(contract.KindUpstream,
+			"the answer broke off and another target did not resume it", "send the request again"))
+		return true
+	}
 	result.Answer = answer
 	return run.handleAnswer(ctx, target, incarnation, answer, result)
 }
@@ -131,6 +139,12 @@
 	return a.Outcome == contract.OutcomeDone && run.next-run.startedAt < a.Frames
 }
 
+// failedResume reports whether a target that was to resume an answer rejected it. The rejection is not an
+// answer to a request whose first tokens have been emitted.
+func (run *repeatableRun) failedResume(a contract.Answer) bool {
+	return a.Outcome == contract.OutcomeDone && a.Status != http.StatusOK && run.next > 0
+}
+
 // answered reports whether the target of this attempt had begun to answer and lived on.
 func (run *repeatableRun) answered() bool { return run.next-run.startedAt >= answeredTokens }
 
--- a/entryd/frontend/observer.go
+++ b/entryd/frontend/observer.go
@@ -49,6 +49,9 @@
 	for _, b := range r.Broken {
 		o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_broken_responses_total{service=%q,framing=%q,caller_got=%q}`, r.Service, b.Framing, b.CallerGot)).Inc()
 	}
+	if r.FailedResumes > 0 {
+		o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_failed_resumes_total{service=%q}`, r.Service)).Add(r.FailedResumes)
+	}
 	if r.TimeToFirstByte > 0 {
 		o.set.GetOrCreateHistogram(fmt.Sprintf(`camphormill_first_byte_seconds{organisation=%q}`, organisation)).Update(r.TimeToFirstByte.Seconds())
 	}
--- a/entryd/frontend/observer_test.go
+++ b/entryd/frontend/observer_test.go
@@ -20,3 +20,14 @@
 	set.WritePrometheus(&out)
 	is.True(strings.Contains(out.String(), `camphormill_broken_responses_total{service="brief-model",framing="connection",caller_got="whole"} 1`))
 }
+
+// TestFailedResumesAreCounted guards against metrics that don't tell targets that break off streams from
+// targets that don't resume them.
+func TestFailedResumesAreCounted(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	newObserver(set).observe(relay.Outcome{Service: "brief-model", Status: 200, Attempts: 3, FailedResumes: 2})
+	var out strings.Builder
+	set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `camphormill_failed_resumes_total{service="brief-model"} 2`))
+}
--- a/entryd/httpapi/stream_test.go
+++ b/entryd/httpapi/stream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +155,40 @@
 		is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
 	}
 }
+
+// TestFailedResumeOfDraftIsNotTheAnswer guards against a draft that broke off after some tokens and whose next
+// target rejects it: the rejection is no answer to the draft, and another target may resume it.
+func TestFailedResumeOfDraftIsNotTheAnswer(t *testing.T) {
+	is := is.New(t)
+	broken := func(call contract.Call) ([]contract.Frame, contract.Answer) {
+		return framesFrom(call, 2), contract.UnknownAnswer(contract.NewFailure(contract.KindEngineLost, "lost", "send it again"))
+	}
+	var rejections atomic.Int64
+	rejecting := func(call contract.Call) ([]contract.Frame, contract.Answer) {
+		if call.ResumeFrom == 0 {
+			return broken(call)
+		}
+		rejections.Add(1)
+		return nil, contract.Answer{Outcome: contract.OutcomeDone, Status: http.StatusBadRequest, ContentType: "text/plain", Body: []byte("unknown field")}
+	}
+	_, body, err := draft(t, startDrafts(t, broken, rejecting), "HTTP/1.1")
+	is.True(err != nil)
+	is.True(strings.Contains(body, `"outcome":"unknown"`))
+	is.True(!strings.Contains(body, "unknown field"))
+
+	resuming := func(call contract.Call) ([]contract.Frame, contract.Answer) {
+		if call.ResumeFrom == 0 || rejections.Load() == 0 {
+			return broken(call)
+		}
+		return whole(call)
+	}
+	rejections.Store(0)
+	for range 20 { // targets are chosen at random
+		_, body, err = draft(t, startDrafts(t, rejecting, rejecting, resuming), "HTTP/1.1")
+		if strings.HasSuffix(body, "data: [DONE]\n\n") {
+			break
+		}
+	}
+	is.NoErr(err)
+	is.Equal(strings.Count(body, `"text":"w`), 4)
+}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -138,6 +138,9 @@
 func (rl *Relay) relayResponse(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer) result {
 	c.mayHaveRun = true
 	c.framing = a.Framing()
+	if c.headSent && !resumesStream(c, a) {
+		return rl.handleFailedResume(c, t, a)
+	}
 	if c.route.Repeat == routes.Stream && a.StatusCode < http.StatusMultipleChoices && isEventStream(a.Header) {
 		return rl.relayEvents(ctx, c, t, a)
 	}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -87,6 +87,7 @@
 	TimeToFirstByte time.Duration // time to the first byte of the response; 0 if none was sent
 	Attempts        int           // attempts in which the request was, or may have been, sent to a target
 	Broken          []BrokenResponse
+	FailedResumes   int // responses of targets that were to resume a stream and did not
 }
 
 // Relay is the HTTP handler for callers' requests. It is safe for concurrent use.
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -130,6 +130,26 @@
 	return r
 }
 
+// resumesStream reports whether a response goes on with the stream whose head the caller has got. Any other
+// response must not be appended to it.
+func resumesStream(c *call, a *httpclient.Answer) bool {
+	return a.StatusCode == c.outcome.Status && isEventStream(a.Header)
+}
+
+// handleFailedResume handles the response of a target that was to resume a stream and did not. Another
+// target may resume it. If none does, the response to the caller is cut off.
+func (rl *Relay) handleFailedResume(c *call, t registry.Target, a *httpclient.Answer) result {
+	if a.StatusCode >= http.StatusInternalServerError {
+		rl.loads.recordServerError(rl.config.Now(), t.ID)
+	}
+	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("target", t.ID).Int("status", a.StatusCode).
+		Str("content_type", a.Header.Get("Content-Type")).Str("after_event", c.lastEventID).Int("events", c.events).
+		Msg("target did not resume the stream")
+	c.outcome.FailedResumes++
+	a.Discard(maxBufferedBody, discardTimeout)
+	return result{sent: true, mayHaveRun: true, refusal: refusal{status: http.StatusBadGateway, reason: "resume_failed"}}
+}
+
 // readEvent reads up to the blank line that ends an event. At the end of the stream, the error is
 // io.EOF. A stream that ends inside an event has been broken off, also where the end of its
 // connection is its regular end. An event of more than maxEventBytes is an error. With an error, the
