Refuse requests that a stopping entry might cut off, and only these

Cause: until when a stopping entry accepted streams was a fixed time that assumed that the longest take four seconds, for services with engines only. Nothing compared the time left with the time that a response may take.

Ruled out: an early stop (7.7 of 8 s are used); targets or the route's limit (they go on; 8 s after each start).

Change: a draining entry accepts a request whose deadline comes before the end of the stop, or whose route's slowest response lately, by size, with a margin of a quarter, would be complete by then. Without any to go by it accepts in the first 2.5 s, while most callers have its address, and refuses afterwards, at once and truthfully. Responses cut off by a stop have the reason "stopped". TestDrainingEntryRefusesStreams passes the two instants in place of calling RefuseStreams; what it checks is the same.

Why it works: what is accepted after the first 2.5 s ends by its deadline, or is expected to end with a margin, before connections are closed; the same decision holds for all services.

Tests: TestStopCutsOffNothingThatItAccepted (failed before), TestDrainingEntryRefusesWhatItWouldCutOff, TestLongerResponsesTakeLonger.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -128,6 +128,8 @@
 	"targets_limited":    "all targets were at the rate limits that they name; it did not run",
 	"target_refused":     "targets were full or draining; it did not run",
 	"target_unreached":   "no target took a connection; it did not run",
+	"leaving":            "the entry was about to stop and might not have completed it; it did not run",
+	"stopped":            "the entry stopped before its response was complete; it may have run",
 	"answer_lost":        "a target got it and its answer was lost; it may have run",
 	"answer_broken":      "a target's answer broke off; it may have run",
 	"response_too_large": "its target's answer exceeded the size limit and was cut off",
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -39,14 +39,12 @@
 	// drainIdleTime is the time without requests after which a draining entry may stop.
 	drainIdleTime = 1200 * time.Millisecond
 	// minDrainTime is the minimum time a draining entry keeps serving: most callers cache
-	// its address for about as long.
+	// its address for about as long. It refuses requests of those who come later if it can't tell that they end
+	// before it stops.
 	minDrainTime = 2500 * time.Millisecond
 	// requestReserve is the part of the stop time left when the listener for callers
 	// closes: a plain request takes up to a second, and targets may be slow.
 	requestReserve = 3 * time.Second
-	// streamReserve is the part of the stop time left when the entry starts to refuse
-	// streams: the longest take about four seconds.
-	streamReserve = 4 * time.Second
 	// exitReserve is the part of the stop time left for the rest of the process when
 	// running requests are cut off.
 	exitReserve = 300 * time.Millisecond
@@ -348,8 +346,9 @@
 		return s, nil
 	}
 	stop := func(ctx context.Context) error {
-		deadline := time.Now().Add(s.config.StopTimeout - exitReserve)
-		s.drain(ctx)
+		startedAt := time.Now()
+		deadline := startedAt.Add(s.config.StopTimeout - exitReserve)
+		s.drain(ctx, relay.Drain{CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime)})
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
@@ -369,10 +368,10 @@
 }
 
 // drain keeps serving until callers use other entries, or until only requestReserve is left
-// of the stop time. Once only streamReserve is left, it refuses streams.
-func (s *Server) drain(ctx context.Context) {
+// of the stop time.
+func (s *Server) drain(ctx context.Context, d relay.Drain) {
 	s.draining.Store(true)
-	s.relay.StartDrain()
+	s.relay.StartDrain(d)
 	s.config.Log.Info().Msg("draining; removed from address responses, serving until callers use other entries")
 	startedAt := freshness.Now()
 	maxElapsed := s.config.StopTimeout - requestReserve
@@ -382,9 +381,6 @@
 		now := freshness.Now()
 		elapsed := time.Duration(now - startedAt)
 		idle := time.Duration(now - freshness.Instant(s.lastRequestAt.Load()))
-		if elapsed >= s.config.StopTimeout-streamReserve {
-			s.relay.RefuseStreams()
-		}
 		if elapsed >= maxElapsed || (elapsed >= minDrainTime && idle >= drainIdleTime && s.inFlight.Load() == 0) {
 			return
 		}
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -192,6 +192,46 @@
 	is.True(time.Since(startedAt) < c.StopTimeout)
 }
 
+// TestStopCutsOffNothingThatItAccepted guards against a stopping entry that accepts long requests when its time
+// is nearly over, passes them on, and cuts them off. Each is either answered or refused without being run.
+func TestStopCutsOffNothingThatItAccepted(t *testing.T) {
+	is := is.New(t)
+	c := newConfig(t, 3100*time.Millisecond)
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.NoErr(k.Start(context.Background()))
+	for i := 0; i < 300; i++ {
+		if addresses, _ := get(c.DirectoryAddress, ""); addresses != "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- k.Stop(context.Background()) }()
+	const callers = 6
+	responses := make(chan string, callers)
+	for i := range callers {
+		time.AfterFunc(time.Duration(i)*560*time.Millisecond, func() { // up to 2.8 s; the entry listens for 3 s
+			body, err := get(c.CallersAddress, "h")
+			if err != nil {
+				body = err.Error()
+			}
+			responses <- body
+		})
+	}
+	served := 0
+	for range callers {
+		switch body := <-responses; body {
+		case "done":
+			served++
+		default:
+			is.Equal(body, "") // of a refusal
+		}
+	}
+	is.Equal(served, 5) // those up to 2.24 s end in time
+	is.NoErr(<-stopped)
+}
+
 // TestHostsAreRegisteredAgainAfterRestore guards against hosts that are not listed any more, and that new
 // daemons don't find, after the store has come back from an older copy.
 func TestHostsAreRegisteredAgainAfterRestore(t *testing.T) {
--- a/entryd/relay/admit.go
+++ b/entryd/relay/admit.go
@@ -45,9 +45,6 @@
 		return &refusal{http.StatusServiceUnavailable, "no_service", defaultRetryAfter}
 	}
 	c.outcome.Service = name
-	if _, streamsRefused := rl.drainState(); streamsRefused && needsSlot(c.service) {
-		return &refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
-	}
 	c.deadline = c.startedAt.Add(time.Hour) // if the route sets no timeout; the caller's can only shorten it
 	if route.Timeout > 0 {
 		c.deadline = c.startedAt.Add(route.Timeout)
@@ -55,6 +52,9 @@
 	if timeout := c.info.Timeout; timeout > 0 && c.startedAt.Add(timeout).Before(c.deadline) {
 		c.deadline = c.startedAt.Add(timeout)
 	}
+	if rl.outlastsStop(c) {
+		return &refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
+	}
 	return rl.admitBody(c)
 }
 
--- /dev/null
+++ b/entryd/relay/draining_test.go
@@ -0,0 +1,88 @@
+package relay_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/entryd/relay"
+	"camphormill.dev/parts/routes"
+)
+
+// TestLongerResponsesTakeLonger guards against a long stream that is accepted because short ones were complete
+// in time.
+func TestLongerResponsesTakeLonger(t *testing.T) {
+	is := is.New(t)
+	e := startConfigured(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 1}, routes.Service{Name: "s"}, func(c *relay.Config) {
+		read := c.Protocol.Read
+		c.Protocol.Read = func(r *http.Request) relay.RequestInfo {
+			info := read(r)
+			info.MaxOutputTokens, _ = strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/r/"))
+			return info
+		}
+	}, takes(200*time.Millisecond))
+	status, _, _, err := e.call(t, http.MethodPost, "/r/100", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	now := time.Now()
+	e.relay.StartDrain(relay.Drain{CutOff: now.Add(time.Second), OnlyKnownFrom: now})
+	for path, expected := range map[string]int{"/r/100": http.StatusOK, "/r/600": http.StatusServiceUnavailable, "/r/9223372036854775807": http.StatusServiceUnavailable} {
+		status, _, _, err := e.call(t, http.MethodPost, path, "key")
+		is.NoErr(err)
+		is.Equal(status, expected)
+	}
+}
+
+// takes returns a target that answers after the given time.
+func takes(d time.Duration) func(e *entry, w http.ResponseWriter, r *http.Request) {
+	return func(e *entry, w http.ResponseWriter, r *http.Request) {
+		e.recordRun("t0", r)
+		time.Sleep(d)
+		_, _ = io.WriteString(w, "done")
+	}
+}
+
+// TestDrainingEntryRefusesWhatItWouldCutOff guards against an entry that accepts a request shortly before it
+// stops, passes it on and cuts it off, whatever its service is.
+func TestDrainingEntryRefusesWhatItWouldCutOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		timeout   time.Duration // of the route; 0 if it has none
+		served    int           // requests before the entry drains
+		onlyKnown time.Duration // after the drain began
+		cutOff    time.Duration // after the drain began
+		status    int
+	}{
+		"sure to end":                    {time.Second, 0, 0, 2 * time.Second, http.StatusOK},
+		"may outlast the stop":           {time.Second, 0, 0, 800 * time.Millisecond, http.StatusServiceUnavailable},
+		"without a timeout":              {0, 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
+		"unknown, early":                 {time.Second, 0, time.Second, 800 * time.Millisecond, http.StatusOK},
+		"known to be short":              {0, 2, 0, 2 * time.Second, http.StatusOK},
+		"known to be too long":           {time.Second, 2, time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		"known to end just before":       {time.Second, 2, time.Second, 210 * time.Millisecond, http.StatusServiceUnavailable},
+		"a stream route without a group": {8 * time.Second, 0, 0, 4500 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 1, Timeout: test.timeout}, takes(200*time.Millisecond))
+			for range test.served {
+				status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK)
+			}
+			now := time.Now()
+			e.relay.StartDrain(relay.Drain{CutOff: now.Add(test.cutOff), OnlyKnownFrom: now.Add(test.onlyKnown)})
+			status, header, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+			is.NoErr(err)
+			is.Equal(status, test.status)
+			if status == http.StatusServiceUnavailable {
+				is.Equal(header.Get("Retry-After"), "0.01")
+				is.Equal(e.runCount(), test.served) // the refusal is true
+			}
+		})
+	}
+}
--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -18,6 +18,8 @@
 	Timeout      time.Duration // time the caller waits for the response; 0 if not given
 	PromptTokens int           // prompt length in tokens
 	OutputTokens int           // expected output length in tokens
+	// MaxOutputTokens is the longest output that the caller allows, in tokens.
+	MaxOutputTokens int
 	// SharedParts identifies the parts of the prompt that other requests may have too, in order.
 	SharedParts []uint64
 	// LastEventID is the ID of the last event the caller has received of a stream; empty at its
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -95,15 +95,13 @@
 	config Config
 	loads  *loadTracker
 
-	mu           sync.Mutex
-	retryBudgets map[string]*limit.RetryBudget
-	strikes      *quarantine.List
-	parts        *quarantine.PartList
-	lost         []lostRequest // whose targets may have died; oldest first
-	draining     bool
-	// streamsRefused is set when the entry is about to stop and a response that lasts
-	// seconds would be cut off.
-	streamsRefused bool
+	mu            sync.Mutex
+	retryBudgets  map[string]*limit.RetryBudget
+	strikes       *quarantine.List
+	parts         *quarantine.PartList
+	lost          []lostRequest // whose targets may have died; oldest first
+	drain         *Drain        // nil unless the entry is about to stop
+	responseTimes responseTimes
 }
 
 // New returns a relay with full retry budgets and no strikes.
@@ -111,22 +109,6 @@
 	return &Relay{config: c, loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
 }
 
-// StartDrain starts draining: every response asks its caller to close the connection.
-func (rl *Relay) StartDrain() {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.draining = true
-	rl.config.Limits.StartDrain()
-}
-
-// RefuseStreams refuses requests for group services, whose responses last seconds, so that
-// their callers go to another entry.
-func (rl *Relay) RefuseStreams() {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.streamsRefused = true
-}
-
 // MergeStrike adds a strike reported by a peer. Its end must be a time of the local clock.
 func (rl *Relay) MergeStrike(s quarantine.Strike) {
 	rl.mu.Lock()
@@ -180,7 +162,7 @@
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{request: r, writer: w, startedAt: rl.config.Now(), info: rl.config.Protocol.Read(r)}
 	w.Header()["Date"] = nil // otherwise net/http adds its own Date
-	if draining, _ := rl.drainState(); draining {
+	if rl.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	broken := rl.serve(c)
@@ -190,13 +172,6 @@
 	}
 }
 
-// drainState reports whether the entry is draining and whether it refuses streams.
-func (rl *Relay) drainState() (draining, streamsRefused bool) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	return rl.draining, rl.streamsRefused
-}
-
 // serve answers the request and reports whether its response ended early.
 func (rl *Relay) serve(c *call) bool {
 	if failure := rl.admit(c); failure != nil {
@@ -383,6 +358,12 @@
 		c.outcome.TimeToFirstByte = c.firstByteAt.Sub(c.startedAt)
 	}
 	callerGone := c.request.Context().Err() != nil
+	switch {
+	case callerGone && rl.cutsOff(): // the entry has closed the connection, not the caller
+		c.outcome.Reason, callerGone = "stopped", false
+	case !broken && c.outcome.Reason == "":
+		rl.recordDuration(c)
+	}
 	rl.reportBreaks(c, broken)
 	event := rl.config.Log.Info()
 	if c.outcome.Reason != "" || broken {
--- a/entryd/relay/relay_test.go
+++ b/entryd/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"camphormill.dev/entryd/relay"
 	"camphormill.dev/parts/routes"
 )
 
@@ -294,16 +295,14 @@
 func TestDrainingEntryRefusesStreams(t *testing.T) {
 	is := is.New(t)
 	e := startWith(t, streamRoute(2), routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, serve("t0"))
-	e.relay.StartDrain()
-	e.relay.RefuseStreams()
+	e.relay.StartDrain(relay.Drain{CutOff: time.Now().Add(1900 * time.Millisecond), OnlyKnownFrom: time.Now()})
 	status, header, _, err := e.call(t, http.MethodPost, "/r/x", "key")
 	is.NoErr(err)
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(header.Get("Retry-After"), "0.01")
 	is.Equal(e.runCount(), 0)
 	e = start(t, routes.Route{Repeat: routes.Idempotent, MaxAttempts: 2, Timeout: 2 * time.Second}, serve("t0"))
-	e.relay.StartDrain()
-	e.relay.RefuseStreams()
+	e.relay.StartDrain(relay.Drain{CutOff: time.Now().Add(3 * time.Second), OnlyKnownFrom: time.Now()})
 	status, _, _, err = e.call(t, http.MethodGet, "/r/x", "key")
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
