Answer each request that a stopping daemon reads

Reproduced on: callers who go on using an entry that stops lose requests: their connection ends regularly without a byte of an answer.

Cause: http.Server.Shutdown. Once it has begun, the server closes a connection after reading the next request from it without handling it, and closes connections that it takes for idle while a request's head is being read. Each stop of an entry under load does so to what comes while it stops listening; the other HTTP listeners, that of the own protocol too, did the same.

With reads held back (TestRequestReadAsServerStopsIsAnswered) it happens each time, for the first request of a connection and for later ones.

Ruled out: the cut-off at the end of the stop time (the test's requests take no time); the kernel's queue of connections (those are reset, and the test doesn't count resets).

Change: daemon.Server, for all HTTP listeners. It ends only the reading of connections that wait for a request, so that bytes which come in that moment are read and their request is handled, and waits half a second for the first request of a new connection.

Why it works: a connection is closed only by its own goroutine, after a read without a byte or after a response that says so.

Tests that failed before (with Shutdown as the stop): TestRequestReadAsServerStopsIsAnswered, TestFirstRequestOfNewConnectionIsAnswered, TestStopAnswersRequestsThatItHasRead; besides, TestStopAnswersWhatHasBegun, TestStopEndsWithContext.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -329,17 +329,16 @@
 // callersService is the HTTP server for callers. It stops before the services it needs,
 // and drains first, because callers cache addresses for a while.
 func (s *Server) callersService() kernel.Service {
-	server := &http.Server{
-		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10,
-		Handler: http.HandlerFunc(s.serve), DisableGeneralOptionsHandler: true,
-	}
+	server := daemon.NewServer(&http.Server{
+		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, DisableGeneralOptionsHandler: true,
+	})
 	start := func(context.Context, *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.config.CallersAddress)
 		if err != nil {
 			return nil, errors.Wrapf(err, "cannot listen on %s; free the address or set another", s.config.CallersAddress)
 		}
 		go func() {
-			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			if err := server.Serve(listener, http.HandlerFunc(s.serve)); err != nil {
 				s.config.Log.Error().Err(err).Msg("HTTP server for callers ended")
 			}
 		}()
@@ -351,7 +350,7 @@
 		s.drain(ctx, relay.Drain{CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime)})
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
+		if err := server.Stop(ctx); err != nil {
 			s.config.Log.Warn().Err(err).Int64("requests", s.inFlight.Load()).Msg("stop time is over; cutting off running requests")
 			return server.Close()
 		}
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -9,10 +10,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/frontend"
@@ -232,6 +235,68 @@
 	is.NoErr(<-stopped)
 }
 
+// callUntilRefused sends requests, as callers do who go on using an entry that stops, on one connection for as
+// long as the entry allows, until no connection is accepted. It returns the number of responses and of requests
+// that the entry has read and not answered: their connection ends regularly, not by a reset.
+func callUntilRefused(address string) (answered, lost int) {
+	for {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return answered, lost
+		}
+		reader := bufio.NewReader(conn)
+		for closing := false; !closing; {
+			if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				break
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if errors.Is(err, io.ErrUnexpectedEOF) {
+				lost++
+			}
+			if err != nil {
+				break
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			if err == nil {
+				answered++
+			}
+			closing = err != nil || response.Close
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestStopAnswersRequestsThatItHasRead guards against requests that come while the entry stops listening,
+// which it reads and drops with their connections.
+func TestStopAnswersRequestsThatItHasRead(t *testing.T) {
+	is := is.New(t)
+	c := newConfig(t, 0)
+	c.StopTimeout = 4 * time.Second
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.NoErr(k.Start(context.Background()))
+	for i := 0; i < 300; i++ {
+		if addresses, _ := get(c.DirectoryAddress, ""); addresses != "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	var answered, lost atomic.Int64
+	var callers sync.WaitGroup
+	for range 64 {
+		callers.Go(func() {
+			a, l := callUntilRefused(c.CallersAddress)
+			answered.Add(int64(a))
+			lost.Add(int64(l))
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(k.Stop(context.Background()))
+	callers.Wait()
+	is.True(answered.Load() > 0)
+	is.Equal(lost.Load(), int64(0))
+}
+
 // TestHostsAreRegisteredAgainAfterRestore guards against hosts that are not listed any more, and that new
 // daemons don't find, after the store has come back from an older copy.
 func TestHostsAreRegisteredAgainAfterRestore(t *testing.T) {
--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -111,23 +111,20 @@
 }
 
 // HTTPService returns a kernel service that serves the handler on an address. The
-// value of the service is the *http.Server. Its Stop waits for the requests in flight
+// value of the service is the *Server. Its Stop waits for the requests in flight
 // until the context of Stop ends.
 func HTTPService(name, address string, needs []string, handler func(k *kernel.Kernel) http.Handler) kernel.Service {
-	server := &http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 32 << 10}
+	server := NewServer(&http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 32 << 10})
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "cannot listen on %s; free the address or set another", address)
 		}
-		server.Handler = handler(k)
-		go func() { _ = server.Serve(listener) }()
+		h := handler(k)
+		go func() { _ = server.Serve(listener, h) }()
 		return server, nil
 	}
-	stop := func(ctx context.Context) error {
-		return server.Shutdown(ctx)
-	}
-	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: stop}
+	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: server.Stop}
 }
 
 // Run starts the kernel, waits for SIGTERM, SIGINT or the end of ctx, and stops the
--- /dev/null
+++ b/parts/daemon/server.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// stopPollInterval is the interval at which a server that stops closes the connections that wait.
+	stopPollInterval = 20 * time.Millisecond
+	// firstRequestTime is how long a stopping server waits for the first request of a connection that was
+	// just opened: it is usually on its way.
+	firstRequestTime = 500 * time.Millisecond
+)
+
+// Server is an HTTP server whose stop answers each request that it reads. Shutdown of http.Server closes
+// without an answer a connection whose request it has not yet read completely, or not yet begun to handle.
+type Server struct {
+	http     *http.Server
+	stopping atomic.Bool
+
+	mu          sync.Mutex
+	listener    net.Listener
+	connections map[*trackedConn]struct{} // open
+}
+
+// NewServer returns a server with the configuration of s, which must set neither Handler nor ConnState.
+func NewServer(s *http.Server) *Server {
+	server := &Server{http: s, connections: map[*trackedConn]struct{}{}}
+	s.ConnState = server.recordState
+	return server
+}
+
+// Serve serves the handler until Stop. Its error is nil after Stop.
+func (s *Server) Serve(listener net.Listener, handler http.Handler) error {
+	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	tracked := &trackingListener{Listener: listener, server: s}
+	s.mu.Lock()
+	s.listener = tracked
+	s.mu.Unlock()
+	err := s.http.Serve(tracked)
+	if s.stopping.Load() {
+		return nil
+	}
+	return err
+}
+
+// Stop closes the listener and each connection that waits for a request, and returns when all are closed.
+// Requests that have begun to arrive are answered. When ctx ends first, Stop returns its error; Close cuts off the rest.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close() // its error would be that it is closed already
+	}
+	ticker := time.NewTicker(stopPollInterval)
+	defer ticker.Stop()
+	for s.closeWaiting() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return s.http.Close()
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() error {
+	s.stopping.Store(true)
+	return s.http.Close()
+}
+
+// closeWaiting closes the connections that wait for a request and returns the number of connections that
+// were open before.
+func (s *Server) closeWaiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.connections {
+		c.closeIfWaiting(now)
+	}
+	return len(s.connections)
+}
+
+// recordState is called by the HTTP server at each change of a connection's state.
+func (s *Server) recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.recordRequest()
+	case http.StateIdle:
+		c.recordWaiting()
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.connections, c)
+	}
+}
+
+// trackingListener accepts connections that tell whether a request has begun to arrive.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for the next connection.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(firstRequestTime)}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.connections[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// trackedConn is a connection of a Server.
+type trackedConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	waiting bool // for the first byte of a request
+	// waitingUntil is the time before which a connection that waits is not closed.
+	waitingUntil time.Time
+	closing      bool // reading ends at once, unless bytes have come
+}
+
+// Read reads from the connection and notes the begin of a request.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.recordRequest()
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the deadline for reading, unless the connection is about to be closed.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// closeIfWaiting ends the reading of a connection on which no request has begun to arrive, so that the HTTP
+// server closes it. A request that arrives in the same moment is read and answered.
+func (c *trackedConn) closeIfWaiting(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.closing || now.Before(c.waitingUntil) {
+		return
+	}
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+func (c *trackedConn) recordRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+}
+
+func (c *trackedConn) recordWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.waitingUntil = true, time.Time{}
+}
--- /dev/null
+++ b/parts/daemon/server_test.go
@@ -0,0 +1,214 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphormill.dev/parts/daemon"
+)
+
+// slowListener accepts connections that hand over what they have read when release is closed, as on a host
+// with little processor time. read gets a value for each read that is held.
+type slowListener struct {
+	net.Listener
+	hold    func(n int) bool // by the number of the read on its connection, from 0
+	read    chan struct{}
+	release chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{Conn: conn, listener: l}, err
+}
+
+type slowConn struct {
+	net.Conn
+	listener *slowListener
+	reads    int
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if c.listener.hold(c.reads) {
+		c.listener.read <- struct{}{}
+		<-c.listener.release
+	}
+	c.reads++
+	return n, err
+}
+
+// get sends a request on a connection and returns the response's body.
+func get(conn net.Conn, reader *bufio.Reader, path string) (string, error) {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return "", err
+	}
+	return readBody(reader)
+}
+
+func readBody(reader *bufio.Reader) (string, error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+var echoPath = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+
+// TestRequestReadAsServerStopsIsAnswered guards against a stop that closes a connection whose request has been
+// read but not yet handled, so that it runs and its response is lost.
+func TestRequestReadAsServerStopsIsAnswered(t *testing.T) {
+	for _, held := range []int{0, 1} { // the first request of its connection, or the second
+		t.Run(fmt.Sprint(held), func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			slow := &slowListener{Listener: listener, hold: func(n int) bool { return n == held }, read: make(chan struct{}), release: make(chan struct{})}
+			server := daemon.NewServer(&http.Server{})
+			go func() { _ = server.Serve(slow, echoPath) }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			if held > 0 {
+				body, err := get(conn, reader, "/first")
+				is.NoErr(err)
+				is.Equal(body, "/first")
+				time.Sleep(20 * time.Millisecond) // the server waits for the next request
+			}
+			_, err = io.WriteString(conn, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			<-slow.read
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(context.Background()) }()
+			time.Sleep(time.Second) // the server closes all connections that wait
+			close(slow.release)
+			body, err := readBody(reader)
+			is.NoErr(err)
+			is.Equal(body, "/last")
+			is.NoErr(<-stopped)
+		})
+	}
+}
+
+// TestFirstRequestOfNewConnectionIsAnswered guards against a stop that closes a connection that a caller has
+// just opened, before the first request has come.
+func TestFirstRequestOfNewConnectionIsAnswered(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{})
+	go func() { _ = server.Serve(listener, echoPath) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	silent, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	time.Sleep(50 * time.Millisecond) // the server has accepted them
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	body, err := get(conn, bufio.NewReader(conn), "/x")
+	is.NoErr(err)
+	is.Equal(body, "/x")
+	is.NoErr(<-stopped) // the silent one does not hold the stop up
+}
+
+// TestStopAnswersWhatHasBegun stops a server under callers who keep their connections, send requests in two
+// parts and two at once. Each request that ran has a response.
+func TestStopAnswersWhatHasBegun(t *testing.T) {
+	is := is.New(t)
+	for range 40 {
+		var mu sync.Mutex
+		ran := map[string]bool{}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		server := daemon.NewServer(&http.Server{})
+		go func() {
+			_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				ran[r.URL.Path] = true
+				mu.Unlock()
+				_, _ = io.WriteString(w, r.URL.Path)
+			}))
+		}()
+		answered := map[string]bool{}
+		var callers sync.WaitGroup
+		for i := range 16 {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			callers.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					paths := []string{fmt.Sprintf("/%d/%d", i, n)}
+					request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", paths[0])
+					if i%2 == 1 {
+						_, _ = io.WriteString(conn, request[:10])
+						time.Sleep(time.Millisecond)
+						request = request[10:]
+					}
+					if i%4 == 0 {
+						paths = append(paths, fmt.Sprintf("/%d/%d/second", i, n))
+						request += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", paths[1])
+					}
+					_, _ = io.WriteString(conn, request)
+					for _, path := range paths {
+						body, err := readBody(reader)
+						if err != nil {
+							return
+						}
+						mu.Lock()
+						answered[path] = body == path
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		is.NoErr(server.Stop(context.Background()))
+		callers.Wait()
+		is.True(len(ran) > 0)
+		for path := range ran {
+			is.True(answered[path])
+		}
+	}
+}
+
+// TestStopEndsWithContext covers a request that outlasts the time for a stop.
+func TestStopEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{})
+	running := make(chan struct{})
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(running)
+			<-r.Context().Done()
+		}))
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = get(conn, bufio.NewReader(conn), "/x") }()
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.Equal(server.Stop(ctx), context.DeadlineExceeded)
+	is.NoErr(server.Close())
+}
