Read the entries of the host list one by one, so that an odd one hides no other

What callers would see: on the project's own platform, an entry that another writer left in the host list, very deeply nested, with a number too large or a field of another type, made the whole list an error. Entries kept their last list: new targets got no requests, and entries that started meanwhile were never ready. On the users' platform port 0 and 0.0.0.0 counted as targets.

Cause: the list was decoded as one document. Ruled out, by tests and by reading: an end of the process (encoding/json limits its depth; no value sets a size that is allocated), the users' registry, the list of daemons and the log, whose entries are decoded one by one.

Change: the list is read token by token; each entry needs a name, a role, an IP address and a port. Odd ones are named in a line when they change. A document that is cut off or has no list is an error, not an empty list.

TestOddEntryDoesNotHideOtherHosts: all of its cases failed before, 14 of 14. TestDecodeTarget has seven odd records more; port 0 failed before. TestBrokenHostListIsAnError.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -225,14 +226,19 @@
 	defer targets.Close()
 	ticker := time.NewTicker(time.Duration(s.HostListInterval))
 	defer ticker.Stop()
+	var invalid []string
 	for {
-		hosts, err := hostList.List(ctx)
+		listing, err := hostList.List(ctx)
 		if err != nil && ctx.Err() == nil {
 			log.Warn().Err(err).Msg("host list cannot be read; using the last one")
 		}
 		if err == nil {
-			targets.SetHosts(hosts)
-			addSeeds(p, hosts)
+			if !slices.Equal(listing.Invalid, invalid) {
+				log.Warn().Strs("entries", listing.Invalid).Int("hosts", len(listing.Hosts)).Msg("entries of the host list cannot be read; using the others")
+			}
+			invalid = listing.Invalid
+			targets.SetHosts(listing.Hosts)
+			addSeeds(p, listing.Hosts)
 			markAvailable(k, needHostList)
 		}
 		select {
--- a/parts/platform/log.go
+++ b/parts/platform/log.go
@@ -124,6 +124,13 @@
 
 // getJSON requests url and decodes the JSON response into value.
 func getJSON(ctx context.Context, client *http.Client, url string, value any) error {
+	return get(ctx, client, url, func(body io.Reader) error {
+		return errors.Wrap(json.NewDecoder(body).Decode(value), "platform: response cannot be decoded")
+	})
+}
+
+// get requests a URL and passes the body of a response with status 200 to read.
+func get(ctx context.Context, client *http.Client, url string, read func(body io.Reader) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -136,5 +143,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("platform: status %d from %s; check the platform's service", resp.StatusCode, url)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(value), "platform: response cannot be decoded")
+	return read(io.LimitReader(resp.Body, maxResponseBytes))
 }
