Don't take a response that names no request for the answer on a connection in use before

What callers would see: a faulty target writes an earlier refusal once more, without the attempt's id, on a kept connection. The next request's caller is told "not run" though it runs (REFUSED), or the request runs at a second target (TWICE). The target daemon took any second copy for the answer to its next call: 409 for a confirmation that was made.

Cause: a response without an id counted as the answer to whatever had been sent last. net/http's client, which the target daemon uses, matches responses by order alone.

Evidence: raw targets.

Ruled out: copies that name the earlier request (skipped before too), copies that come while the connection is idle (it is not used again), links of the own protocol (each response names its request).

Change: httpclient.Match. A response without an id is accepted only as the first of a connection, which is then not used again; on one in use before it is skipped and the real answer is read. Requests without an id get connections of their own. The target daemon opens a connection for each call, so that net/http doesn't send a read again by itself either.

Why it works: the first response of a connection that has carried one request can only be that request's.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -71,8 +71,8 @@
 	Store    storeview.Store
 	Hosts    mesh.Directory
 	Protocol relay.Protocol
-	// IsResponseTo reports whether an answer belongs to the request; nil accepts every answer.
-	IsResponseTo     func(request *http.Request, answer *http.Response) bool
+	// MatchResponse tells whether a target's response belongs to a request; see httpclient.Config.
+	MatchResponse    func(request *http.Request, response *http.Response) httpclient.Match
 	CallersAddress   string // listen address for callers
 	ReadyAddress     string // listen address for readiness requests
 	DirectoryAddress string // listen address for address requests
@@ -161,7 +161,7 @@
 	s.limits = relay.NewLimits(relay.LimitsConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits")})
 	s.client = httpclient.New(httpclient.Config{
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
-		IsResponseTo: c.IsResponseTo, Now: time.Now,
+		Match: c.MatchResponse, Now: time.Now,
 	})
 	reserve := retryReserveShare * c.RetryReserve / float64(max(c.EntryCount, 1))
 	s.relay = relay.New(relay.Config{
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -60,7 +60,10 @@
 	defer rl.loads.requestEnded(t.ID)
 	c.targetID = t.ID
 	maxIdle := time.Hour
-	if !c.route.MayRepeat() {
+	switch {
+	case c.info.AttemptID == "":
+		maxIdle = 0 // nothing tells its response from a late one to another request
+	case !c.route.MayRepeat():
 		maxIdle = nonRepeatableMaxIdle
 	}
 	c.sentAt = rl.config.Now()
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -32,13 +32,25 @@
 	// IdleTimeout bounds how long an idle connection is kept. A shorter timeout
 	// in the target's Keep-Alive header takes precedence.
 	IdleTimeout time.Duration
-	// IsResponseTo reports whether a response belongs to a request. Responses to earlier
-	// requests on the connection are skipped. Nil accepts every response.
-	IsResponseTo func(request *http.Request, response *http.Response) bool
+	// Match tells whether a response belongs to a request. Responses to earlier requests on the
+	// connection are skipped. Nil stands for targets of which each response belongs to the request before it.
+	Match func(request *http.Request, response *http.Response) Match
 	// Now returns the time by which IdleTimeout and Request.MaxIdle are measured.
 	Now func() time.Time
 }
 
+// Match tells whether a response belongs to a request.
+type Match string
+
+// The results of matching a response with a request.
+const (
+	MatchesRequest Match = "request" // it names the request
+	MatchesOther   Match = "other"   // it names another request
+	// MatchesNone is a response that names no request. It belongs to the first request of a connection, and may
+	// belong to any earlier one of a connection that was in use before, whose later responses would be shifted by one.
+	MatchesNone Match = "none"
+)
+
 // Client sends requests and pools idle connections to targets. It is safe for
 // concurrent use.
 type Client struct {
@@ -88,6 +100,7 @@
 	reader    *bufio.Reader
 	expires   time.Time // when it must leave the pool
 	idleSince time.Time // when it was last returned to the pool
+	used      bool      // it has carried a request before
 }
 
 // Request is one request with the limits for sending it.
@@ -110,6 +123,7 @@
 	stop     func() bool // ends the watch on the context; false if it was cancelled
 	complete bool        // the body was read to its end
 	failed   bool        // writing the request or reading the body failed
+	matched  bool        // the response names the request, or Config.Match is nil
 }
 
 // Do sends a request and waits for the head of its response. Its error is a
@@ -134,13 +148,13 @@
 	}
 	// A target may respond before it has read a long body and then stop reading,
 	// so the response is read also after a failed write.
-	response, err := c.readHead(conn, r.HTTP)
+	response, matched, err := c.readHead(conn, r.HTTP)
 	if err != nil {
 		stop()
 		_ = conn.Close()
 		return nil, &ResponseLostError{Cause: err}
 	}
-	a := &Answer{Response: response, client: c, conn: conn, stop: stop, failed: writeErr != nil}
+	a := &Answer{Response: response, client: c, conn: conn, stop: stop, failed: writeErr != nil, matched: matched}
 	a.Body = &trackedBody{answer: a, body: response.Body}
 	return a, nil
 }
@@ -151,27 +165,31 @@
 const maxSkipped = 2
 
 // readHead reads the head of the response to request. It skips up to maxSkipped
-// informational responses and responses to other requests.
-func (c *Client) readHead(conn *connection, request *http.Request) (*http.Response, error) {
+// informational responses and responses that belong, or may belong, to other requests. matched is as in Answer.
+func (c *Client) readHead(conn *connection, request *http.Request) (r *http.Response, matched bool, err error) {
 	for range maxSkipped + 1 {
 		conn.source.allow(maxHeadBytes)
 		response, err := http.ReadResponse(conn.reader, request)
 		conn.source.allowAll()
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if c.config.IsResponseTo == nil || c.config.IsResponseTo(request, response) {
-			return response, nil
+		match := MatchesRequest
+		if c.config.Match != nil {
+			match = c.config.Match(request, response)
+		}
+		if match == MatchesRequest || (match == MatchesNone && !conn.used) {
+			return response, match == MatchesRequest, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		_ = response.Body.Close()
 	}
-	return nil, errors.New("the target sent no response to this request, only informational ones or responses to others; the connection is closed")
+	return nil, false, errors.New("the target sent no response to this request, only informational ones or responses to others; the connection is closed")
 }
 
 // maxSkippedBytes bounds what is read of the body of a skipped response.
@@ -217,14 +235,16 @@
 // Close ends the exchange. It returns the connection to the pool if the body was
 // read to its end and the connection can carry another request, and closes it
 // otherwise. The connection cannot be reused after an error or a cancellation, if the
-// target asked to close it, or if the body was delimited only by the connection's end.
+// target asked to close it, if the body was delimited only by the connection's end, or if the response
+// did not name its request.
 func (a *Answer) Close() {
 	notCancelled := a.stop()
-	reusable := notCancelled && a.complete && !a.failed && !a.Response.Close && a.Framing() != FramedByConnection
+	reusable := notCancelled && a.complete && !a.failed && a.matched && !a.Response.Close && a.Framing() != FramedByConnection
 	if !reusable || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
 	}
+	a.conn.used = true
 	a.client.putIdle(a.conn, a.Header)
 }
 
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -56,8 +56,14 @@
 func newClient() *httpclient.Client {
 	return httpclient.New(httpclient.Config{
 		ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Minute, Now: time.Now,
-		IsResponseTo: func(request *http.Request, response *http.Response) bool {
-			return response.Header.Get("Id") == request.Header.Get("Id")
+		Match: func(request *http.Request, response *http.Response) httpclient.Match {
+			switch response.Header.Get("Id") {
+			case "":
+				return httpclient.MatchesNone
+			case request.Header.Get("Id"):
+				return httpclient.MatchesRequest
+			}
+			return httpclient.MatchesOther
 		},
 	})
 }
@@ -123,6 +129,60 @@
 	<-sent
 }
 
+// TestRefusalWrittenAgainIsNotTheAnswer guards against a refusal that a faulty target writes once more, on a
+// connection in use again: the next request would count as not run, though it runs.
+func TestRefusalWrittenAgainIsNotTheAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n"
+	for name, again := range map[string]string{
+		"with the id of its request": refusal + "Id: a\r\n\r\nfull",
+		"without an id":              refusal + "\r\nfull",
+		"twice":                      refusal + "\r\nfull" + refusal + "Id: a\r\n\r\nfull",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newClient()
+			respondAfter := func(after func(conn net.Conn)) string {
+				return startTarget(t, func(conn net.Conn, n int) {
+					if n == 0 {
+						_, _ = io.WriteString(conn, refusal+"Id: a\r\n\r\nfull")
+						return
+					}
+					_, _ = io.WriteString(conn, again)
+					after(conn)
+				})
+			}
+			address := respondAfter(func(conn net.Conn) { respond(conn, "b", "ran") })
+			_, err := fetch(t, c, newRequest(address, "a"))
+			is.NoErr(err)
+			body, err := fetch(t, c, newRequest(address, "b"))
+			is.NoErr(err)
+			is.Equal(body, "ran")
+			is.Equal(c.ConnectionsOpened(), int64(1))
+
+			address = respondAfter(func(conn net.Conn) { _ = conn.Close() })
+			_, err = fetch(t, c, newRequest(address, "a"))
+			is.NoErr(err)
+			_, err = fetch(t, c, newRequest(address, "b"))
+			is.True(httpclient.WasSent(err)) // it may have run
+		})
+	}
+}
+
+// TestConnectionWithoutIDsIsNotReused covers targets that don't name the request in their responses.
+func TestConnectionWithoutIDsIsNotReused(t *testing.T) {
+	is := is.New(t)
+	c := newClient()
+	address := startTarget(t, func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+	})
+	for range 2 {
+		body, err := fetch(t, c, newRequest(address, "a"))
+		is.NoErr(err)
+		is.Equal(body, "x")
+	}
+	is.Equal(c.ConnectionsOpened(), int64(2))
+}
+
 // TestConnectionsWithUnreadBytesAreNotReused has a target send a second response
 // that arrives while the connection is idle.
 func TestConnectionsWithUnreadBytesAreNotReused(t *testing.T) {
--- a/targetd/engine/engine.go
+++ b/targetd/engine/engine.go
@@ -26,10 +26,12 @@
 	client  *http.Client
 }
 
-// New returns the adapter for the engine at the base URL. It follows no redirects.
+// New returns the adapter for the engine at the base URL. It follows no redirects. Each draft has a
+// connection of its own, so that no late copy of an earlier answer is taken for its answer.
 func New(baseURL string) *Engine {
+	const noIdleConnections = -1
 	return &Engine{baseURL: baseURL, client: &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 256},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: noIdleConnections},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/targetd/service/service.go
+++ b/targetd/service/service.go
@@ -27,10 +27,13 @@
 }
 
 // New returns the adapter for the service at the base URL. Its client follows no
-// redirects. It must not retry a call, which could then take effect twice; see Work.
+// redirects. It must not retry a call, which could then take effect twice; see Work. Each call has a
+// connection of its own, which is cheap on the same host: on one that was in use before, a late copy of an
+// earlier answer would be taken for the answer to this call, and net/http sends a call without a body again.
 func New(baseURL string) *Service {
+	const noIdleConnections = -1
 	return &Service{baseURL: baseURL, client: &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 256},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: noIdleConnections},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -38,8 +41,7 @@
 // Work makes one call. It passes the organisation to the service in a header that callers
 // cannot set. It ignores its last parameter, because a service streams no tokens.
 func (s *Service) Work(ctx context.Context, call contract.Call, _ func(token string)) contract.Answer {
-	// Without GetBody, net/http cannot resend the body after a lost connection. A GET without
-	// a body can still be resent.
+	// Without GetBody, net/http cannot resend the body after a lost connection.
 	body := io.NopCloser(bytes.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.baseURL+call.Path, body)
 	if err != nil {
--- a/targetd/service/service_test.go
+++ b/targetd/service/service_test.go
@@ -1,7 +1,9 @@
 package service
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +59,61 @@
 	is.Equal(answer.Outcome, contract.OutcomeNotRun)
 }
 
+// TestLateCopyOfAnswerIsNotTheNextAnswer guards against an answer, such as a refusal, that a service writes once
+// more on a connection in use again, and against a read that is sent again after its connection was lost.
+func TestLateCopyOfAnswerIsNotTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 409 Conflict\r\nContent-Length: 7\r\n\r\nrefused"
+	answer := func(path string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+	}
+	var lost atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					switch {
+					case r.URL.Path == "/refused":
+						_, _ = io.WriteString(conn, refusal)
+					case r.URL.Path == "/lost":
+						lost.Add(1)
+						return
+					case n > 0:
+						_, _ = io.WriteString(conn, refusal+answer(r.URL.Path))
+					default:
+						_, _ = io.WriteString(conn, answer(r.URL.Path))
+					}
+				}
+			}()
+		}
+	}()
+	s := New("http://" + listener.Addr().String())
+	for range 3 {
+		refused := s.Work(context.Background(), contract.Call{Method: "POST", Path: "/refused"}, nil)
+		is.Equal(refused.Status, http.StatusConflict)
+		confirmed := s.Work(context.Background(), contract.Call{Method: "POST", Path: "/confirm"}, nil)
+		is.Equal(confirmed.Status, http.StatusOK)
+		is.Equal(string(confirmed.Body), "/confirm")
+		lost.Store(0)
+		read := s.Work(context.Background(), contract.Call{Method: "GET", Path: "/lost"}, nil)
+		is.Equal(read.Outcome, contract.OutcomeUnknown)
+		is.Equal(lost.Load(), int64(1))
+	}
+}
+
 // startRawService starts a service that writes bytes of its own choice to each connection. Its listener
 // is closed before that if dying is set.
 func startRawService(t *testing.T, dying bool, write func(conn *net.TCPConn)) string {
