--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -134,6 +134,7 @@
 	"answer_broken":      "a target's answer broke off; it may have run",
 	"response_too_large": "its target's answer exceeded the size limit and was cut off",
 	"stream_broken":      "its stream broke off and could not be resumed",
+	"unproven_refusal":   "its target refused it without saying that it did not run; it may have run",
 	"resume_failed":      "its stream broke off and the last target that was to resume it answered with something else",
 	"timeout":            "its deadline passed while a target ran it; it may have run",
 	"timeout_waiting":    "its deadline passed before a target got it; it did not run",
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -174,6 +174,11 @@
 		rl.loads.recordSuccess(t.ID)
 		rl.recordAnswered(c)
 	}
+	if saysNotRun(a.StatusCode) && !c.route.MayRepeat() {
+		rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("target", t.ID).Int("status", a.StatusCode).
+			Msg("target answered as if it had not run the request, without saying so")
+		return result{sent: true, mayHaveRun: true, refusal: refusal{status: http.StatusBadGateway, reason: "unproven_refusal"}}
+	}
 	rl.copyHeader(c, a)
 	if int64(len(body)) == maxBufferedBody {
 		return rl.relayRest(ctx, c, t, a, body)
@@ -187,6 +192,16 @@
 	return result{answered: true, broken: err != nil}
 }
 
+// saysNotRun reports whether callers take the status for a promise that the request did not run, and never
+// will.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // relayRest sends a response that is larger than maxBufferedBody, beginning with the part
 // read so far. It cuts off a response that is larger than maxResponseBody.
 func (rl *Relay) relayRest(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, prefix []byte) result {
