Keep targets that register again as they were after an outage

Cause: a record that equals the known one was passed over before the registry saw it, so that it did not end the target's grace, and the target was dropped at the grace's end. Heartbeats change no record, so nothing brought it back.

Same cause elsewhere: whole listings, late Ready records of draining targets. Related: a second listing cut a grace short; after a restore of the store a target that had registered again as it was before the listing stayed out, as its copy may list targets that have left (TestRestoredListingIsConfirmed, fails before). Right: what a peer tells (the same path), the project's own host list.

Change: registry.With decides by itself what changes, and any entry ends the grace; a listing leaves a running grace as it is; after a restore that held targets back, the store is listed once more when its entries that nobody renews have lapsed. Refusals say targets_lapsed where the registry lapsed; camphormill_targets_in_grace.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -149,6 +149,7 @@
 		age, _ := s.view.ProofAge()
 		return age.Seconds()
 	})
+	s.metrics.set.NewGauge(`camphormill_targets_in_grace`, func() float64 { return float64(s.view.Targets().Missing()) })
 	s.metrics.set.NewGauge(`camphormill_prompt_parts_suspected`, func() float64 { return float64(len(s.relay.SuspectedParts())) })
 	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -335,7 +335,11 @@
 		freeAt, reason = rl.loads.firstPauseEnd(now, targets), "targets_paused"
 	}
 	if freeAt.IsZero() {
-		return registry.Target{}, &refusal{http.StatusServiceUnavailable, "no_target", defaultRetryAfter}
+		reason = "no_target"
+		if rl.config.View.Targets().Lapsed(c.service.Name) {
+			reason = "targets_lapsed"
+		}
+		return registry.Target{}, &refusal{http.StatusServiceUnavailable, reason, defaultRetryAfter}
 	}
 	return registry.Target{}, &refusal{http.StatusServiceUnavailable, reason, max(freeAt.Sub(now), minLimitRetryAfter)}
 }
--- a/entryd/storeview/storeview.go
+++ b/entryd/storeview/storeview.go
@@ -47,6 +47,9 @@
 	// outageGrace is the time that targets have to register again if their registrations
 	// expired while the store was unreachable.
 	outageGrace = 2 * time.Second
+	// restoredLapse is the time after which the store, when it has come back from an older copy, lists only
+	// targets that renew their registrations.
+	restoredLapse = 6 * time.Second
 	// outageThreshold decides whether the removal of a target is attributed to an outage of
 	// the store: it is if the registry was last read longer ago than this. The threshold is
 	// longer than any usual pause between reads and shorter than the time after which
@@ -111,6 +114,7 @@
 	targets            registry.Registry
 	listed             bool      // the targets have been listed completely at least once
 	listedEra          int64     // era of the store at that listing
+	listAgainAt        time.Time // when the targets are listed again; zero if a read of the records is enough
 	targetsOffset      int64     // end of the registry's record stream as last applied
 	nextReadAt         time.Time // when Run next reads the store
 	confirmedAt        time.Time // when the registry was last read, by this entry or a peer
@@ -262,9 +266,10 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	v.mu.Lock()
-	routesOffset, targetsOffset, listed := v.routesOffset, v.targetsOffset, v.listed
+	routesOffset, targetsOffset := v.routesOffset, v.targetsOffset
+	listed := v.listed && (v.listAgainAt.IsZero() || v.config.Now().Before(v.listAgainAt))
 	// If a peer has announced newer routes, the read leaves out the targets until they are due.
-	routesOnly := v.peerHasNewerRoutes && listed && v.config.Now().Before(v.targetsDueAt)
+	routesOnly := v.peerHasNewerRoutes && v.listed && v.config.Now().Before(v.targetsDueAt)
 	v.scheduleRead(maxViewAge)
 	v.mu.Unlock()
 	// The age of the result counts from asOf here, and at each peer from the sending time
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,7 +26,7 @@
 	mu      sync.Mutex
 	version int64
 	targets []registry.Target
-	removed [][]byte // IDs of removed targets, one per record; removed[i] has offset i+1
+	removed [][]byte // IDs of removed targets, or + and the ID of one that registers as it was; removed[i] has offset i+1
 	calls   atomic.Int64
 	era     int64 // number of restores from an older copy
 }
@@ -79,7 +80,12 @@
 			defer s.mu.Unlock()
 			return s.era
 		},
-		DecodeTargetRecord: func(raw []byte) (string, *registry.Target, bool) { return string(raw), nil, true },
+		DecodeTargetRecord: func(raw []byte) (string, *registry.Target, bool) {
+			if id, registers := strings.CutPrefix(string(raw), "+"); registers {
+				return id, &registry.Target{ID: id, Service: "s", State: registry.Ready}, true
+			}
+			return string(raw), nil, true
+		},
 	}
 }
 
@@ -270,6 +276,51 @@
 	is.True(eventually(3*time.Second, func() bool { return len(f.views[0].Targets().Serving("s")) == 0 }))
 }
 
+// TestTargetThatReturnsAsItWasIsKept guards against an entry that drops, when their grace is over, all targets that
+// have registered again after an outage exactly as they were, and that it never finds again.
+func TestTargetThatReturnsAsItWasIsKept(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 3)
+	for _, storeCutOff := range f.storeCutOff {
+		storeCutOff.Store(true)
+	}
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("a"))
+	f.store.mu.Unlock()
+	time.Sleep(2500 * time.Millisecond)
+	for _, storeCutOff := range f.storeCutOff {
+		storeCutOff.Store(false)
+	}
+	isMissing := func() bool { return f.views[0].Targets().IsMissing("a") }
+	is.True(eventually(3*time.Second, isMissing))
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("+a"))
+	f.store.mu.Unlock()
+	time.Sleep(4 * time.Second) // the grace is over
+	for _, v := range f.views {
+		is.Equal(len(v.Targets().Serving("s")), 1)
+		is.Equal(v.Targets().Missing(), 0)
+	}
+}
+
+// TestRestoredListingIsConfirmed guards against a target that was removed, has registered again as it was before the
+// restored store is listed, and stays out for good since a copy may list targets that have left.
+func TestRestoredListingIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	f.store.mu.Lock()
+	f.store.removed = append(f.store.removed, []byte("a"))
+	f.store.mu.Unlock()
+	isServing := func() bool { return len(f.views[0].Targets().Serving("s")) == 1 }
+	is.True(eventually(5*time.Second, func() bool { return !isServing() }))
+	f.store.mu.Lock()
+	f.store.era++ // its copy lists the target, which renews its registration
+	f.store.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	is.True(!isServing()) // it may have left
+	is.True(eventually(7*time.Second, isServing))
+}
+
 // TestRestoredStoreBringsBackNoTargets guards against targets that left after the copy from which
 // the store came back, and that it lists again.
 func TestRestoredStoreBringsBackNoTargets(t *testing.T) {
--- a/entryd/storeview/targets.go
+++ b/entryd/storeview/targets.go
@@ -42,19 +42,24 @@
 	}
 	era := v.era()
 	v.mu.Lock()
-	restored := v.listed && era != v.listedEra
+	restored, heldBack := v.listed && era != v.listedEra, 0
+	v.listAgainAt = time.Time{}
 	if restored {
-		v.targets = v.targets.WithRestoredListing(targets, v.config.Now().Add(outageGrace))
+		v.targets, heldBack = v.targets.WithRestoredListing(targets, v.config.Now().Add(outageGrace))
 	} else {
 		v.targets = v.targets.WithListing(targets, v.graceEnd())
 	}
+	if heldBack > 0 {
+		v.listAgainAt = v.config.Now().Add(restoredLapse)
+	}
 	v.listedEra = era
 	v.targetsOffset = end
 	v.targetsDueAt = v.config.Now().Add(maxViewAge)
 	v.listed = true
 	after := v.targets
 	v.mu.Unlock()
-	v.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Int64("era", era).Bool("restored", restored).Msg("targets listed")
+	v.config.Log.Info().Int("targets", len(targets)).Int64("offset", end).Int64("era", era).Bool("restored", restored).
+		Int("held_back", heldBack).Int("in_grace", after.Missing()).Msg("targets listed")
 	v.config.OnTargetsChanged(after)
 	if restored && v.config.OnRestored != nil {
 		v.config.OnRestored()
@@ -123,9 +128,10 @@
 		}
 		return r.Without(id, v.graceEnd())
 	}
-	if known && previous == *t {
-		return r
+	returned := r.IsMissing(id)
+	if !known || returned || previous != *t {
+		v.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("state", string(t.State)).
+			Bool("returned", returned).Msg("target changed")
 	}
-	v.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("state", string(t.State)).Msg("target changed")
 	return r.With(*t)
 }
--- a/parts/registry/registry.go
+++ b/parts/registry/registry.go
@@ -36,6 +36,8 @@
 	// missing holds, by target id, the end of the grace period of targets whose
 	// entries lapsed around an outage.
 	missing map[string]time.Time
+	// lapsed holds the services whose last target was dropped at the end of its grace period.
+	lapsed map[string]bool
 	// removed holds the latest removed incarnations, maxRemoved at most, the oldest first.
 	removed []incarnation
 }
@@ -49,19 +51,37 @@
 // maxRemoved bounds the removed incarnations that a Registry remembers.
 const maxRemoved = 512
 
-// With returns the registry after the entry of a target was written. It ignores a Ready
-// entry of an incarnation that is already draining: an incarnation never leaves that
-// state, so the entry was written earlier and has arrived late.
+// With returns the registry after the entry of a target was written, which ends its grace period, also if
+// the entry is as it was before. An incarnation that is draining stays so: it never leaves that state, so a Ready
+// entry was written earlier and has arrived late.
 func (r Registry) With(t Target) Registry {
-	if old, known := r.targets[t.ID]; known && old.State == Draining && t.State == Ready && old.Started.Equal(t.Started) {
+	old, known := r.targets[t.ID]
+	if known && old.State == Draining && t.State == Ready && old.Started.Equal(t.Started) {
+		t = old
+	}
+	if known && old == t && !r.IsMissing(t.ID) {
 		return r
 	}
 	next := r.clone()
 	next.targets[t.ID] = t
 	delete(next.missing, t.ID)
+	delete(next.lapsed, t.Service)
 	return next
 }
 
+// IsMissing reports whether a target is in its grace period.
+func (r Registry) IsMissing(id string) bool {
+	_, missing := r.missing[id]
+	return missing
+}
+
+// Missing returns the number of targets in their grace period.
+func (r Registry) Missing() int { return len(r.missing) }
+
+// Lapsed reports whether the last target of a service was dropped at the end of its grace period, and none has
+// registered since.
+func (r Registry) Lapsed(service string) bool { return r.lapsed[service] }
+
 // Without returns the registry after the entry of a target was removed. If graceEnd is not
 // zero, the target stays until that time, because its entry may have lapsed during an
 // outage of the registry itself. A target that is missing already keeps its earlier end.
@@ -83,18 +103,16 @@
 }
 
 // WithListing returns the registry after a full listing. Targets that are not listed are
-// removed as by Without with graceEnd.
+// removed as by Without with graceEnd, but those that are missing already keep their grace period.
 func (r Registry) WithListing(listed []Target, graceEnd time.Time) Registry {
 	next := r
 	present := map[string]bool{}
 	for _, t := range listed {
 		present[t.ID] = true
-		if next.targets[t.ID] != t {
-			next = next.With(t)
-		}
+		next = next.With(t)
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
-		if !present[id] {
+		if !present[id] && !r.IsMissing(id) {
 			next = next.Without(id, graceEnd)
 		}
 	}
@@ -103,8 +121,10 @@
 
 // WithRestoredListing returns the registry after a full listing of a store that has come back from an
 // older copy. Incarnations that were removed since that copy, or replaced by a later one, don't come
-// back, and targets that are missing in it have until graceEnd to register again.
-func (r Registry) WithRestoredListing(listed []Target, graceEnd time.Time) Registry {
+// back, and targets that are missing in it have until graceEnd to register again. heldBack is the number of
+// removed incarnations that the copy lists: one of them may live and have registered again as it was, which
+// only a later listing shows, when the entries that nobody renews have lapsed.
+func (r Registry) WithRestoredListing(listed []Target, graceEnd time.Time) (next Registry, heldBack int) {
 	var current []Target
 	for _, t := range listed {
 		known, ok := r.targets[t.ID]
@@ -113,9 +133,11 @@
 			current = append(current, known)
 		case ok || !slices.Contains(r.removed, incarnation{t.ID, t.Started}):
 			current = append(current, t)
+		default:
+			heldBack++
 		}
 	}
-	return r.WithListing(current, graceEnd)
+	return r.WithListing(current, graceEnd), heldBack
 }
 
 // WithoutExpired returns the registry at the time now, without the targets whose grace period is
@@ -123,13 +145,28 @@
 func (r Registry) WithoutExpired(now time.Time) Registry {
 	next := r
 	for id, until := range r.missing {
-		if !now.Before(until) {
-			next = next.Without(id, time.Time{})
+		if now.Before(until) {
+			continue
+		}
+		service := r.targets[id].Service
+		next = next.Without(id, time.Time{})
+		if !next.knows(service) {
+			next.lapsed[service] = true
 		}
 	}
 	return next
 }
 
+// knows reports whether any target of a service is known.
+func (r Registry) knows(service string) bool {
+	for _, t := range r.targets {
+		if t.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Target returns a target by id.
 func (r Registry) Target(id string) (Target, bool) {
 	t, ok := r.targets[id]
@@ -164,12 +201,15 @@
 func (r Registry) Len() int { return len(r.targets) }
 
 func (r Registry) clone() Registry {
-	next := Registry{targets: maps.Clone(r.targets), missing: maps.Clone(r.missing), removed: r.removed}
+	next := Registry{targets: maps.Clone(r.targets), missing: maps.Clone(r.missing), lapsed: maps.Clone(r.lapsed), removed: r.removed}
 	if next.targets == nil {
 		next.targets = map[string]Target{}
 	}
 	if next.missing == nil {
 		next.missing = map[string]time.Time{}
 	}
+	if next.lapsed == nil {
+		next.lapsed = map[string]bool{}
+	}
 	return next
 }
--- a/parts/registry/registry_test.go
+++ b/parts/registry/registry_test.go
@@ -79,7 +79,8 @@
 	r = r.Without("left", time.Time{}).With(target("drains", registry.Draining, started))
 	r = r.With(target("restarted", registry.Ready, started.Add(time.Second))).With(target("new", registry.Ready, started))
 	graceEnd := started.Add(time.Minute)
-	r = r.WithRestoredListing(older, graceEnd)
+	r, heldBack := r.WithRestoredListing(older, graceEnd)
+	is.Equal(heldBack, 1)
 	_, listed := r.Target("left")
 	is.True(!listed)
 	var serving []string
