Send the request target on byte for byte

Cause: the target was decoded into a URL and encoded again, on three ways out: entry to target, the own protocol's entry, the target daemon to its service.

Ruled out: method and body, which were never changed.

Change: httpclient writes requests itself, with the target as it came. The own protocol cuts the service's path out of the raw target; what its links can't carry unchanged, or what would be read as a host, gets 400. The target daemon sends the path as it got it.

--- a/entryd/httpapi/service.go
+++ b/entryd/httpapi/service.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
 
@@ -65,11 +66,12 @@
 func serviceRequest(r *http.Request, request *dispatch.Request) *contract.Failure {
 	request.Kind = contract.WorkService
 	request.ServiceName = chi.URLParam(r, "service")
-	_, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"), "/")
-	request.Path = "/" + rest
-	if r.URL.RawQuery != "" {
-		request.Path += "?" + r.URL.RawQuery
+	path, ok := servicePath(r.RequestURI)
+	if !ok {
+		return contract.NewFailure(contract.KindInvalidRequest,
+			"the path cannot be passed on as it is", "send a path in UTF-8 that begins with one slash, in a request target without a host")
 	}
+	request.Path = path
 	request.Reservation = r.Header.Get(HeaderReservation)
 	request.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
 	if len(request.IdempotencyKey) > maxKeyBytes {
@@ -79,6 +81,19 @@
 	return nil
 }
 
+// servicePath returns the path and query for a service, byte for byte as they stand in the request target
+// /v1/services/NAME/PATH. It returns false if they can't be passed on unchanged: in a target that names a host,
+// for a path that begins with two slashes, which would be taken for a host, and for bytes that are no UTF-8, which
+// the links to targets don't carry.
+func servicePath(requestTarget string) (string, bool) {
+	named, ok := strings.CutPrefix(requestTarget, "/v1/services/")
+	if !ok {
+		return "", false
+	}
+	_, rest, ok := strings.Cut(named, "/")
+	return "/" + rest, ok && !strings.HasPrefix(rest, "/") && utf8.ValidString(rest)
+}
+
 // isRepeatable reports whether a call may run more than once. A read may. Any other
 // call may only if the caller allows it and sends no reservation or idempotency key.
 func isRepeatable(r *http.Request) (bool, *contract.Failure) {
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -68,7 +68,7 @@
 	}
 	c.sentAt = rl.config.Now()
 	out := rl.targetRequest(c, t)
-	response, err := rl.config.Client.Do(ctx, httpclient.Request{Address: t.Address, HTTP: out, MaxIdle: maxIdle, Deadline: c.deadline})
+	response, err := rl.config.Client.Do(ctx, httpclient.Request{Address: t.Address, HTTP: out, Target: c.request.RequestURI, MaxIdle: maxIdle, Deadline: c.deadline})
 	if err != nil {
 		return rl.handleNoResponse(ctx, c, t, err)
 	}
--- a/entryd/relay/harness_test.go
+++ b/entryd/relay/harness_test.go
@@ -105,18 +105,18 @@
 const maxProofAge = 600 * time.Millisecond
 
 // start runs a relay; each handler is one target of the service.
-func start(t *testing.T, route routes.Route, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
+func start(t testing.TB, route routes.Route, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
 	t.Helper()
 	return startWith(t, route, routes.Service{Name: "s"}, handlers...)
 }
 
-func startWith(t *testing.T, route routes.Route, service routes.Service, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
+func startWith(t testing.TB, route routes.Route, service routes.Service, handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
 	t.Helper()
 	return startConfigured(t, route, service, func(*relay.Config) {}, handlers...)
 }
 
 // startConfigured is startWith for a relay whose configuration differs from that of other tests.
-func startConfigured(t *testing.T, route routes.Route, service routes.Service, configure func(c *relay.Config), handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
+func startConfigured(t testing.TB, route routes.Route, service routes.Service, configure func(c *relay.Config), handlers ...func(e *entry, w http.ResponseWriter, r *http.Request)) *entry {
 	t.Helper()
 	is := is.New(t)
 	e := &entry{}
--- a/entryd/relay/move_test.go
+++ b/entryd/relay/move_test.go
@@ -18,7 +18,7 @@
 )
 
 // freeAddress returns a loopback address for datagrams.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -383,26 +383,15 @@
 }
 
 // targetRequest returns the request to send to a target: the caller's request with the
-// headers set by Protocol.SetHeaders.
+// headers set by Protocol.SetHeaders. Its URL is left out, because the request target goes out as it came in.
 func (rl *Relay) targetRequest(c *call, t registry.Target) *http.Request {
 	h := c.request.Header.Clone()
 	removeHopByHop(h)
 	rl.config.Protocol.SetHeaders(h, c.info, TargetHeaders{
 		TargetID: t.ID, Organisation: c.organisation.Name, Remaining: c.deadline.Sub(rl.config.Now()), LastEventID: c.lastEventID,
 	})
-	if _, present := h["User-Agent"]; !present {
-		h["User-Agent"] = []string{""} // otherwise net/http sets its own User-Agent
-	}
-	u := *c.request.URL
-	u.Scheme, u.Host = "http", t.Address
-	if len(c.request.RequestURI) > 1 && c.request.RequestURI[0] == '/' && c.request.RequestURI[1] != '/' {
-		// The path is sent byte for byte as the caller sent it. If it began with //, net/url
-		// would put the scheme before it.
-		u.Opaque = c.request.RequestURI
-		u.RawQuery = ""
-	}
 	out := &http.Request{
-		Method: c.request.Method, URL: &u, Host: c.request.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: c.request.Method, Host: c.request.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(c.body)),
 	}
 	if len(c.body) > 0 {
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -107,6 +107,8 @@
 type Request struct {
 	Address string
 	HTTP    *http.Request // its body must have a known length
+	// Target is the request target as it is sent, byte for byte; if empty, that of the URL of HTTP.
+	Target string
 	// MaxIdle bounds how long a reused connection may have been idle, since the
 	// target may close an idle connection while the request is sent. Zero opens
 	// a new connection.
@@ -140,7 +142,7 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	counted := &countingWriter{w: conn}
-	writeErr := r.HTTP.Write(counted)
+	writeErr := write(counted, r)
 	if writeErr != nil && counted.written == 0 {
 		stop()
 		_ = conn.Close()
--- a/targetd/service/service.go
+++ b/targetd/service/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -43,7 +44,10 @@
 func (s *Service) Work(ctx context.Context, call contract.Call, _ func(token string)) contract.Answer {
 	// Without GetBody, net/http cannot resend the body after a lost connection.
 	body := io.NopCloser(bytes.NewReader(call.Body))
-	req, err := http.NewRequestWithContext(ctx, call.Method, s.baseURL+call.Path, body)
+	req, err := http.NewRequestWithContext(ctx, call.Method, s.baseURL, body)
+	if err == nil {
+		req.URL, err = withTarget(req.URL, call.Path)
+	}
 	if err != nil {
 		return contract.NotRunAnswer(contract.NewFailure(contract.KindInvalidRequest, err.Error(), "correct the path"))
 	}
@@ -89,6 +93,18 @@
 	}
 }
 
+// withTarget returns a URL whose request target is the path of the base URL and then path, byte for byte.
+func withTarget(base *url.URL, path string) (*url.URL, error) {
+	target := strings.TrimSuffix(base.EscapedPath(), "/") + path
+	if _, err := url.ParseRequestURI(target); err != nil {
+		return nil, errors.Wrap(err, "path is no request target")
+	}
+	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") || strings.Contains(target, " ") {
+		return nil, errors.Errorf("path %q cannot be sent as it is", path)
+	}
+	return &url.URL{Scheme: base.Scheme, Host: base.Host, Opaque: target}, nil
+}
+
 // endsWithConnection reports whether the body of an answer has neither length nor chunks.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && resp.Request.Method != http.MethodHead
--- a/targetd/service/service_test.go
+++ b/targetd/service/service_test.go
@@ -114,6 +114,28 @@
 	}
 }
 
+// TestPathGoesOutAsItCame guards against a service that gets another path or query than the caller sent, since
+// they were decoded and encoded again.
+func TestPathGoesOutAsItCame(t *testing.T) {
+	is := is.New(t)
+	var target string
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { target = r.RequestURI }))
+	defer server.Close()
+	for _, base := range []string{"", "/base"} {
+		for _, path := range []string{"/x", "/x?", "/x??", "/a%2Fb", "/a\"b", "/a\"b%2fc?q=\"", "/x;v=1?a;b", "/caf\u00e9?\u00e9", "/a//b", "/./x", "/x#f"} {
+			answer := New(server.URL+base).Work(context.Background(), contract.Call{Method: "GET", Path: path}, nil)
+			is.Equal(answer.Outcome, contract.OutcomeDone)
+			is.Equal(target, base+path)
+		}
+	}
+	for _, path := range []string{"//x", "x", "/%zz", "/a b", "", "/a\r\nb"} {
+		target = ""
+		answer := New(server.URL).Work(context.Background(), contract.Call{Method: "GET", Path: path}, nil)
+		is.Equal(answer.Outcome, contract.OutcomeNotRun)
+		is.Equal(target, "")
+	}
+}
+
 // startRawService starts a service that writes bytes of its own choice to each connection. Its listener
 // is closed before that if dying is set.
 func startRawService(t *testing.T, dying bool, write func(conn *net.TCPConn)) string {
