Match the host of a route in any case and with a port

Cause: the host header was compared with the route's host byte for byte. RFC 9110, 4.2.3: hosts are compared without regard to case; a port that is given for the same listener names the same host.

Change: hosts are compared in lower case, first with the port, then without it, so that routes whose host has a port stay apart.

TestHostMatchesInAnyCaseAndWithPort failed before.

--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -120,7 +120,8 @@
 func New(c Config) *Table {
 	t := &Table{version: c.Version, limits: c.Limits, routes: map[string][]Route{}, services: map[string]Service{}, keys: c.Keys}
 	for _, r := range c.Routes {
-		t.routes[r.Host] = append(t.routes[r.Host], r)
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
 	}
 	for _, list := range t.routes {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -138,9 +139,15 @@
 func (t *Table) Limits() Limits { return t.limits }
 
 // Match returns the route of the host with the longest prefix that matches the path, or
-// false if there is none.
+// false if there is none. The host may have letters of any case (RFC 9110, 4.2.3), and a port, which matters only
+// to routes whose host has one.
 func (t *Table) Match(host, path string) (Route, bool) {
-	for _, r := range t.routes[host] {
+	host = strings.ToLower(host)
+	list, ok := t.routes[host]
+	if !ok {
+		list = t.routes[withoutPort(host)]
+	}
+	for _, r := range list {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -148,6 +155,14 @@
 	return Route{}, false
 }
 
+// withoutPort returns a host without its port.
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") { // an IPv6 address ends with ]
+		return host[:i]
+	}
+	return host
+}
+
 // Service returns a service by name, or false if there is none.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/parts/routes/routes_test.go
+++ b/parts/routes/routes_test.go
@@ -24,6 +24,22 @@
 	// /x/ all
 }
 
+// TestHostMatchesInAnyCaseAndWithPort guards against 404 for callers who write the host in capitals or with its
+// port.
+func TestHostMatchesInAnyCaseAndWithPort(t *testing.T) {
+	is := is.New(t)
+	table := routes.New(routes.Config{Routes: []routes.Route{
+		{Name: "plain", Host: "Calls.example", Prefix: "/"}, {Name: "port", Host: "calls.example:81", Prefix: "/"}, {Name: "v6", Host: "[fe80::1]", Prefix: "/"},
+	}})
+	for host, name := range map[string]string{
+		"calls.example": "plain", "CALLS.Example": "plain", "calls.example:80": "plain", "calls.example:": "plain", "calls.example:81": "port",
+		"[FE80::1]": "v6", "[fe80::1]:80": "v6", "other.example": "", "example": "", "": "",
+	} {
+		route, _ := table.Match(host, "/x")
+		is.Equal(route.Name, name)
+	}
+}
+
 func TestPickFollowsWeights(t *testing.T) {
 	is := is.New(t)
 	r := routes.Route{Services: []routes.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
