Ignore the time of an earlier life of a host's clock

Cause: a peer that reads the store just after an entry has started returns the time of the last heartbeat of the process before, by a clock that has begun anew since. It lies in the future; the freshness proof took it, is not current by its negative age, and ignores every later one as older. Readiness took a negative age for a fresh one.

Change: heartbeats name the life of their clock, drawn by each process, and updates return it. A time of another life, or in the future, is ignored with a line, and the entry reads the store itself. An entry is ready only while it would accept requests.

Why it works: a proof can only hold a time that this process has read from its own clock.

Tests, both failed before: TestTimeOfAnotherLifeIsIgnored, TestEntryThatRefusesIsNotReady.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -95,6 +95,7 @@
 // Server is the state of a running entry.
 type Server struct {
 	config        Config
+	life          freshness.Life
 	mesh          *mesh.Mesh
 	view          *storeview.View
 	slots         *relay.SlotClient
@@ -110,7 +111,7 @@
 // RegisterServices registers the services of an entry with the kernel.
 func RegisterServices(k *kernel.Kernel, c Config) {
 	set := metrics.NewSet()
-	s := &Server{config: c, metrics: newObserver(set)}
+	s := &Server{config: c, life: freshness.NewLife(), metrics: newObserver(set)}
 	k.Register(kernel.Service{Name: "mesh", Start: func(context.Context, *kernel.Kernel) (any, error) { return s, s.build() }})
 	registerLoop := func(name string, run func(ctx context.Context)) {
 		k.Register(kernel.Loop(name, []string{"mesh"}, func(ctx context.Context, _ *kernel.Kernel) { run(ctx) }))
@@ -154,7 +155,7 @@
 	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
-		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
+		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Life: s.life, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
 		OnTargetsChanged: func(r registry.Registry) { s.relay.PruneTargets(r) },
 		OnRestored:       func() { go s.restoreHosts() },
 	})
@@ -167,7 +168,7 @@
 	reserve := retryReserveShare * c.RetryReserve / float64(max(c.EntryCount, 1))
 	s.relay = relay.New(relay.Config{
 		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
-		MaxProofAge: time.Duration(revocationBoundShare * float64(c.RevocationBound)), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
+		MaxProofAge: s.maxProofAge(), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
 	return nil
@@ -299,7 +300,7 @@
 }
 
 func (s *Server) sendHeartbeat() {
-	b := mesh.Heartbeat{Ready: s.IsReady(), Leaving: s.draining.Load(), Sent: freshness.Now()}
+	b := mesh.Heartbeat{Ready: s.IsReady(), Leaving: s.draining.Load(), Sent: freshness.Now(), Life: s.life}
 	for _, h := range s.mesh.Known(mesh.RoleEntry) {
 		s.mesh.Send(h.Name, mesh.Message{Heartbeat: &b})
 	}
@@ -310,8 +311,12 @@
 	if s.draining.Load() || !s.view.Loaded() {
 		return false
 	}
-	age, ok := s.view.ProofAge()
-	return ok && age < s.config.RevocationBound
+	return s.view.WasConfirmed(s.maxProofAge())
+}
+
+// maxProofAge is the age of the routes' freshness proof from which the entry refuses requests.
+func (s *Server) maxProofAge() time.Duration {
+	return time.Duration(revocationBoundShare * float64(s.config.RevocationBound))
 }
 
 // Addresses returns the public addresses of the entries that accept callers, with that of
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -297,6 +297,43 @@
 	is.Equal(lost.Load(), int64(0))
 }
 
+// TestEntryThatRefusesIsNotReady guards against an entry that says that it is ready while it refuses all requests,
+// because it has not been able to confirm its routes for too long.
+func TestEntryThatRefusesIsNotReady(t *testing.T) {
+	is := is.New(t)
+	c := newConfig(t, 0)
+	var down atomic.Bool
+	read := c.Store.ReadConfiguration
+	c.Store.ReadConfiguration = func(ctx context.Context, from int64) ([]byte, int64, error) {
+		if down.Load() {
+			return nil, 0, errors.New("store unreachable")
+		}
+		return read(ctx, from)
+	}
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.NoErr(k.Start(context.Background()))
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	isReady := func() bool {
+		addresses, _ := get(c.DirectoryAddress, "")
+		return addresses != ""
+	}
+	for i := 0; i < 300 && !isReady(); i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	down.Store(true)
+	refused := false
+	for until := time.Now().Add(c.RevocationBound + time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		body, err := get(c.CallersAddress, "h")
+		is.NoErr(err)
+		if body == "" {
+			refused = true
+			is.True(!isReady())
+		}
+	}
+	is.True(refused)
+}
+
 // TestHostsAreRegisteredAgainAfterRestore guards against hosts that are not listed any more, and that new
 // daemons don't find, after the store has come back from an older copy.
 func TestHostsAreRegisteredAgainAfterRestore(t *testing.T) {
--- a/entryd/storeview/peers.go
+++ b/entryd/storeview/peers.go
@@ -4,28 +4,38 @@
 	"math/rand/v2"
 	"time"
 
-	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/mesh"
 )
 
-// peerHeartbeats returns the names of the live entries and the sending time of the last
-// heartbeat of each, by that entry's own clock.
-func (v *View) peerHeartbeats() map[string]freshness.Instant {
-	heartbeats := map[string]freshness.Instant{}
+// peerHeartbeats returns the names of the live entries and the last heartbeat of each.
+func (v *View) peerHeartbeats() map[string]mesh.Heartbeat {
+	heartbeats := map[string]mesh.Heartbeat{}
 	for _, h := range v.config.Mesh.Alive(mesh.RoleEntry) {
 		if beat, ok := v.config.Mesh.LastHeartbeat(h.Name); ok {
-			heartbeats[h.Name] = beat.Sent
+			heartbeats[h.Name] = beat
 		}
 	}
 	return heartbeats
 }
 
+// isOwnInstant reports whether the time that an update returns is of this process's clock. A peer may still
+// have a heartbeat of an earlier life of this host, whose clock may have been ahead.
+func (v *View) isOwnInstant(from string, m mesh.StoreUpdate) bool {
+	now := v.config.SteadyClock()
+	if m.Life == v.config.Life && m.AsOf <= now {
+		return true
+	}
+	v.config.Log.Info().Str("peer", from).Bool("same_life", m.Life == v.config.Life).Dur("ahead", time.Duration(m.AsOf-now)).
+		Msg("a peer returned the time of another life of this host; the age of its data is unknown")
+	return false
+}
+
 // notifyPeers sends the result of a read to the peers. Each message returns the sending time
 // of the receiver's last heartbeat that had arrived before the read. The receiver counts the
 // age of the result from this time, which is of its own clock. truncated is
 // Records.Truncated of the read. If it is set, or the records are larger than
 // maxRecordBytes, the message holds no records and its From is equal to its End.
-func (v *View) notifyPeers(message mesh.StoreUpdate, truncated bool, heartbeats map[string]freshness.Instant) {
+func (v *View) notifyPeers(message mesh.StoreUpdate, truncated bool, heartbeats map[string]mesh.Heartbeat) {
 	size := 0
 	for _, raw := range message.Targets {
 		size += len(raw)
@@ -35,7 +45,7 @@
 	}
 	for name, heartbeat := range heartbeats {
 		peerMessage := message
-		peerMessage.AsOf = heartbeat
+		peerMessage.AsOf, peerMessage.Life = heartbeat.Sent, heartbeat.Life
 		v.config.Mesh.Send(name, mesh.Message{StoreUpdate: &peerMessage})
 	}
 }
@@ -45,6 +55,9 @@
 // configuration that the peer found. It postpones this entry's own next read only if it
 // renews the proof and the update also covers the registry up to at least v.targetsOffset.
 func (v *View) ApplyUpdate(from string, m mesh.StoreUpdate) {
+	if m.AsOf > 0 && !v.isOwnInstant(from, m) {
+		m.AsOf = 0
+	}
 	if v.applyPeerConfiguration(m) {
 		v.config.Log.Debug().Str("peer", from).Int64("offset", m.Configuration).Msg("routes received from a peer")
 	}
--- a/entryd/storeview/storeview.go
+++ b/entryd/storeview/storeview.go
@@ -93,6 +93,7 @@
 	Store       Store
 	Mesh        *mesh.Mesh
 	SteadyClock func() freshness.Instant // for the age of proofs; runs on while the host is suspended
+	Life        freshness.Life           // of this process, as in its heartbeats
 	Now         func() time.Time
 	Log         zerolog.Logger
 	// OnTargetsChanged is called with each new set of targets.
@@ -181,6 +182,10 @@
 	return !v.storeReachable && v.config.Now().Before(v.nextReadAt)
 }
 
+// WasConfirmed reports whether the routes were confirmed as the newest less than bound ago, without reading
+// the store.
+func (v *View) WasConfirmed(bound time.Duration) bool { return v.proofIsCurrent(bound) }
+
 func (v *View) proofIsCurrent(bound time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -276,6 +276,30 @@
 	is.True(eventually(3*time.Second, func() bool { return len(f.views[0].Targets().Serving("s")) == 0 }))
 }
 
+// TestTimeOfAnotherLifeIsIgnored guards against an entry that refuses everything after a loss of power for as long as its
+// host had been up before: a peer sends it the time of a heartbeat of its earlier life, by a clock that has begun anew.
+func TestTimeOfAnotherLifeIsIgnored(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	v := f.views[0]
+	const uptime = 240 * time.Hour // before the loss of power
+	for _, life := range []freshness.Life{0, 7} { // 0 is that of the view
+		v.ApplyUpdate("peer", mesh.StoreUpdate{Configuration: 1, AsOf: freshness.Now().Add(uptime), Life: life, RegistryRead: true, From: 1, End: 1})
+	}
+	is.True(eventually(3*time.Second, func() bool { return v.Current(context.Background(), time.Second) }))
+	age, ok := v.ProofAge()
+	is.True(ok && age >= 0)
+
+	f.storeCutOff[0].Store(true)
+	time.Sleep(1100 * time.Millisecond)
+	update := mesh.StoreUpdate{Configuration: 1, AsOf: freshness.Now(), Life: 7, RegistryRead: true, From: 1, End: 1}
+	v.ApplyUpdate("peer", update)
+	is.True(!v.WasConfirmed(time.Second)) // it is not known when that was
+	update.Life = 0
+	v.ApplyUpdate("peer", update)
+	is.True(v.WasConfirmed(time.Second))
+}
+
 // TestTargetThatReturnsAsItWasIsKept guards against an entry that drops, when their grace is over, all targets that
 // have registered again after an outage exactly as they were, and that it never finds again.
 func TestTargetThatReturnsAsItWasIsKept(t *testing.T) {
--- a/parts/freshness/freshness.go
+++ b/parts/freshness/freshness.go
@@ -4,12 +4,23 @@
 // while the host is suspended.
 package freshness
 
-import "time"
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
 
 // Instant is a reading of a clock that never stops or goes backwards, such as the
 // time since the host started.
 type Instant time.Duration
 
+// Life identifies the process whose clock an Instant is of. Instants of two lives can't be compared: the host may
+// have started anew in between, and its clock with it.
+type Life uint32
+
+// NewLife returns the identity of a process that starts. It is never 0.
+func NewLife() Life { return Life(rand.Uint32N(math.MaxUint32)) + 1 }
+
 // Add returns the instant that is d later.
 func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
 
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -69,8 +69,9 @@
 	Ready   bool `json:"ready"`
 	Leaving bool `json:"leaving,omitempty"` // the daemon is draining
 	// Sent is the time of sending by the clock of the sender. A StoreUpdate returns it
-	// in AsOf.
+	// in AsOf, and Life with it.
 	Sent freshness.Instant `json:"sent"`
+	Life freshness.Life    `json:"life,omitempty"` // of the sender, whose clock Sent is of
 }
 
 // StoreUpdate passes on what an entry has read from the store of the platform.
@@ -85,6 +86,8 @@
 	// before the read was sent. By the clock of the receiver, the data is therefore
 	// at least as recent as AsOf. It is 0 if there was no heartbeat.
 	AsOf freshness.Instant `json:"after,omitempty"`
+	// Life is Heartbeat.Life of that heartbeat. A receiver of another life ignores AsOf.
+	Life freshness.Life `json:"life,omitempty"`
 	// RegistryRead is set if the registry was read too, not only the configuration.
 	RegistryRead bool `json:"read,omitempty"`
 	// Targets are the records of the registry from offset From up to offset End, which is
