Reset the connection of a request whose caller has left

Cause: the entry closed such a connection with FIN, which delivers all bytes before it.

Ruled out: an entry that notices late that its caller has left; it closes at once.

Change: a connection whose request was cancelled, by its caller, its deadline or a move, is reset.

Why it works in part: bytes that the target has not read yet are void. A target that had read the request before it was frozen goes on with it when it wakes; nothing reaches it before.

TestCancelledRequestResetsItsConnection failed before.

--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -103,6 +103,14 @@
 	used      bool      // it has carried a request before
 }
 
+// reset makes Close reset the connection. A target whose host is frozen then finds no request to run when it
+// wakes: bytes on the way are dropped, and reading fails.
+func (c *connection) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is already closed
+	}
+}
+
 // Request is one request with the limits for sending it.
 type Request struct {
 	Address string
@@ -152,7 +160,9 @@
 	// so the response is read also after a failed write.
 	response, matched, err := c.readHead(conn, r.HTTP)
 	if err != nil {
-		stop()
+		if cancelled := !stop(); cancelled {
+			conn.reset()
+		}
 		_ = conn.Close()
 		return nil, &ResponseLostError{Cause: err}
 	}
@@ -242,6 +252,9 @@
 func (a *Answer) Close() {
 	notCancelled := a.stop()
 	reusable := notCancelled && a.complete && !a.failed && a.matched && !a.Response.Close && a.Framing() != FramedByConnection
+	if !notCancelled {
+		a.conn.reset()
+	}
 	if !reusable || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -10,10 +10,12 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"camphormill.dev/parts/httpclient"
 )
@@ -183,6 +185,30 @@
 	is.Equal(c.ConnectionsOpened(), int64(2))
 }
 
+// TestCancelledRequestResetsItsConnection guards against a target that was frozen and, when it wakes, runs requests
+// whose callers have left: a connection that was closed still delivers what had been sent, one that was reset
+// doesn't.
+func TestCancelledRequestResetsItsConnection(t *testing.T) {
+	is := is.New(t)
+	for _, sent := range []string{"", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100\r\n\r\npart"} { // by the target before its caller leaves
+		ended := make(chan error, 1)
+		address := startTarget(t, func(conn net.Conn, _ int) {
+			_, _ = io.WriteString(conn, sent)
+			_, err := conn.Read(make([]byte, 1))
+			ended <- err
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		response, err := newClient().Do(ctx, newRequest(address, "a"))
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+			response.Close()
+		}
+		is.True(err != nil)
+		is.True(errors.Is(<-ended, syscall.ECONNRESET))
+	}
+}
+
 // TestConnectionsWithUnreadBytesAreNotReused has a target send a second response
 // that arrives while the connection is idle.
 func TestConnectionsWithUnreadBytesAreNotReused(t *testing.T) {
