Take a target for dead only if it refuses connections or has restarted

What callers would see: a sound request that two targets lost because they were cut off was refused at all entries for ten minutes (503, "quarantined").

Cause: any failure of the connection attempt that looks whether a target lives counted as its death for the whole request; for the request's prompt parts only a refused connection did.

Ruled out: targets that refuse connections, which are dead, and requests whose target had begun to answer.

Change: a request whose target is out of reach is remembered, as its prompt parts were before, and gets its strike when the registry shows another process at the target's address.

--- a/entryd/relay/lostrequests.go
+++ b/entryd/relay/lostrequests.go
@@ -16,12 +16,14 @@
 	maxLostRequests = 256
 )
 
-// lostRequest is a request with shared prompt parts that its target left unanswered.
+// lostRequest is a request that its target left unanswered.
 type lostRequest struct {
 	id          string
+	fingerprint uint64
 	target      registry.Target
 	sharedParts []uint64
 	parts       []quarantine.PartID
+	events      int // that its caller has got
 	sentAt      time.Time
 }
 
@@ -53,12 +55,13 @@
 	return restarted
 }
 
-// recordRestarts suspects the parts of lost requests whose targets have restarted. The deaths count
+// recordRestarts records strikes against lost requests whose targets have restarted, and suspects their parts. The deaths count
 // from when the requests were sent, so that every answer since then clears its parts.
 func (rl *Relay) recordRestarts(r registry.Registry) {
 	for _, lost := range rl.takeRestarted(r) {
 		rl.config.Log.Info().Str("request", lost.id).Str("target", lost.target.ID).Time("sent_at", lost.sentAt).
 			Msg("target of a lost request has restarted; it may have died of the request")
+		rl.recordStrike(lost)
 		go rl.recordPartDeath(lost, lost.sentAt)
 	}
 }
--- a/entryd/relay/targetdeath.go
+++ b/entryd/relay/targetdeath.go
@@ -86,8 +86,9 @@
 	rl.config.ShareParts(records, false)
 }
 
-// strikeIfDead records a strike against the request if its target accepts no connections any
-// more. A request that the target had begun to answer did not kill it.
+// strikeIfDead records a strike against the request if its target refuses connections. A target that doesn't
+// even refuse them may be cut off, so the request is remembered until the registry tells whether the target has restarted. A
+// request that the target had begun to answer did not kill it.
 func (rl *Relay) strikeIfDead(c *call, t registry.Target) {
 	if c.attemptEvents >= answeredEvents {
 		return
@@ -97,18 +98,14 @@
 		_ = conn.Close()
 		return
 	}
-	rl.recordStrike(c, t)
-	if len(c.parts) == 0 {
-		return
-	}
-	lost := lostRequest{id: c.info.AttemptID, target: t, sharedParts: c.info.SharedParts, parts: c.parts, sentAt: c.sentAt}
-	// A target that doesn't even refuse the connection may be cut off, which says nothing about
-	// the parts that the request shares with others.
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		rl.recordPartDeath(lost, rl.config.Now())
-	} else {
+	lost := lostRequest{id: c.info.AttemptID, fingerprint: c.fingerprint, target: t, sharedParts: c.info.SharedParts, parts: c.parts, events: c.events, sentAt: c.sentAt}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		rl.config.Log.Info().Str("request", lost.id).Str("target", t.ID).Err(err).Msg("target of a lost request is out of reach; it may have died or be cut off")
 		rl.rememberLost(lost)
+		return
 	}
+	rl.recordStrike(lost)
+	rl.recordPartDeath(lost, rl.config.Now())
 }
 
 // errDiedAtEnd reports a response that ended with its connection because the target died.
@@ -132,20 +129,23 @@
 
 // recordStrike records that a target died while running the request, and notifies the
 // peers. The target's ID identifies the death, because a restarted target has another ID.
-func (rl *Relay) recordStrike(c *call, t registry.Target) {
+func (rl *Relay) recordStrike(lost lostRequest) {
 	rl.mu.Lock()
-	s := rl.strikes.Add(rl.config.Now(), c.fingerprint, t.ID)
-	count := rl.strikes.Strikes(rl.config.Now(), c.fingerprint)
+	s := rl.strikes.Add(rl.config.Now(), lost.fingerprint, lost.target.ID)
+	count := rl.strikes.Strikes(rl.config.Now(), lost.fingerprint)
 	rl.mu.Unlock()
-	rl.config.Log.Warn().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Str("address", t.Address).Int("strikes", count).
-		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Msg("target died while running the request")
-	rl.config.OnTargetDeath(t.Service)
+	rl.config.Log.Warn().Str("request", lost.id).Str("service", lost.target.Service).Str("target", lost.target.ID).Str("address", lost.target.Address).Int("strikes", count).
+		Strs("parts", formatParts(lost.sharedParts)).Int("events", lost.events).Msg("target died while running the request")
+	rl.config.OnTargetDeath(lost.target.Service)
 	rl.config.OnStrike(s)
 }
 
 // recordPartDeath suspects the parts of a request whose target died at the given time. It tells the
 // other entries at once, waits for what they know of the parts, and passes on what clears some of them.
 func (rl *Relay) recordPartDeath(lost lostRequest, diedAt time.Time) {
+	if len(lost.parts) == 0 {
+		return
+	}
 	rl.mu.Lock()
 	suspects := rl.parts.AddDeathAt(rl.config.Now(), diedAt, lost.target.ID, lost.parts)
 	records := rl.parts.Records(rl.config.Now(), lost.parts)
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -282,7 +282,7 @@
 	is := is.New(t)
 	f := start(t, 1)
 	v := f.views[0]
-	const uptime = 240 * time.Hour // before the loss of power
+	const uptime = 240 * time.Hour                // before the loss of power
 	for _, life := range []freshness.Life{0, 7} { // 0 is that of the view
 		v.ApplyUpdate("peer", mesh.StoreUpdate{Configuration: 1, AsOf: freshness.Now().Add(uptime), Life: life, RegistryRead: true, From: 1, End: 1})
 	}
