Give each expert map a version that no other switch has

Cause: a new map's version was the highest that any rank reports, plus one. Ranks report only complete copies, so the next plan, of a new leader or of the same one after a switch that was given up, could take the number of a map that some ranks are still copying; these refuse the new one, a rank that the first order did not reach takes it, and in the end all report the same version as prepared.

Ruled out: late orders to ranks that have had a higher version, which refuse them.

Change: the version is the fence of the switch.

Why it works: a fence is reserved for one switch of one claim, and later claims have higher ones.

--- a/targetd/rankagent/switching.go
+++ b/targetd/rankagent/switching.go
@@ -64,6 +64,13 @@
 	return c
 }
 
+// newVersion returns the version of a new map, above the highest that any rank reports. It is the fence of its
+// switch, which no other switch of any leader has: ranks don't report copies that are not complete, so another map with
+// the same version may be on its way to some of them.
+func (l *leader) newVersion(highest mapswitch.Version) mapswitch.Version {
+	return max(highest+1, mapswitch.Version(l.nextFence))
+}
+
 func (l *leader) startSwitch(now time.Time, s mapswitch.Switch) {
 	l.current = &s
 	l.phase, l.phaseStart = s.Phase(), now
@@ -112,11 +119,12 @@
 	l.knownLayouts.add(base)
 	l.knownLayouts.add(l.layout)
 	l.plannedSkew = plan.after
-	l.log.Info().Float64("skew", plan.before).Float64("skew_planned", plan.after).Int("copies", plan.copies).Int64("map", int64(version+1)).
+	version = l.newVersion(version)
+	l.log.Info().Float64("skew", plan.before).Float64("skew_planned", plan.after).Int("copies", plan.copies).Int64("map", int64(version)).
 		Int("bytes", len(l.changes.Encoded)).Uint64("base", uint64(l.changes.Base)).
 		Dur("pass", l.passDurations.mean).
 		Dur("took", time.Since(planStart)).Msg("switch of the expert map started")
-	config := l.switchConfig(version + 1)
+	config := l.switchConfig(version)
 	l.layoutMap, l.layoutEpoch = config.Version, config.Epoch
 	l.startSwitch(now, mapswitch.New(config))
 }
