Soak: lapses of the registry, odd entries, failed resumptions and raw request targets

Now, in every run: three in ten streams that are to be resumed are answered with an error; requests have odd but legal request targets, and the targets compare what they read with what was sent, and the body; another writer leaves odd entries in the registry. In half of the runs all registrations lapse during the long outage and come back as they were.

Left out: boots with another clock (storeview's tests have the seam), and long streams at every moment of a planned stop (TestStopCutsOffNothingThatItAccepted).

--- a/millload/soak/fleet.go
+++ b/millload/soak/fleet.go
@@ -122,6 +122,18 @@
 	return nil
 }
 
+// targetIDs returns the IDs of all registered targets.
+func (f *fleet) targetIDs() []string {
+	var ids []string
+	for rank := range f.config.Targets {
+		ids = append(ids, fmt.Sprintf("i-%d", rank))
+	}
+	for i := range f.config.Services {
+		ids = append(ids, fmt.Sprintf("r-%d", i))
+	}
+	return ids
+}
+
 // registerTarget registers a target in the store. A plain service is registered under
 // the address of a proxy in front of it, on the next port. An engine is registered under
 // its own address, which target daemons use, also the one that leads the group, so drafts
--- a/millload/soak/soak.go
+++ b/millload/soak/soak.go
@@ -61,6 +61,12 @@
 	// slowRankSequence selects the random sequence of the slow ranks. Callers have the
 	// sequences 1 to Config.Callers, all other faults the sequence 0.
 	slowRankSequence = 1 << 32
+	// registrySequence selects that of the lapses of the registry and of odd entries in it.
+	registrySequence = 1<<32 + 1
+	// lapseTime is the time after which the registrations of targets lapse in an outage of the store, and
+	// maxRenewTime that within which targets register again after it.
+	lapseTime    = 3600 * time.Millisecond
+	maxRenewTime = 1500 * time.Millisecond
 	// demandShiftInterval is the time between the regular shifts of the demand for
 	// experts. Further shifts are among the drawn faults.
 	demandShiftInterval = 1500 * time.Millisecond
@@ -75,7 +81,7 @@
 	executions := fakeplatform.NewRecorder()
 	groupConfig := fakeplatform.GroupConfig{
 		Ranks: c.Targets, Sets: 2, Experts: 24, ExpertSlots: 10, SpareExpertSlots: 3, Slots: 8, PassInterval: 25 * time.Millisecond,
-		CopyTime: 150 * time.Millisecond, LateOrderShare: 0.08, CutStreamShare: 0.01,
+		CopyTime: 150 * time.Millisecond, LateOrderShare: 0.08, CutStreamShare: 0.01, FailedResumeShare: 0.3,
 	}
 	f := &fleet{
 		config: c, subnet: fmt.Sprintf("127.%d.0", c.SubnetOctet), store: fakeplatform.NewStore(), storeFaults: &faults.Injector{}, executions: executions,
@@ -217,6 +223,7 @@
 		f.longOutage.Store(false)
 		f.storeFaults.Set(faults.Faults{})
 	})
+	faultLog = append(faultLog, f.disturbRegistry(ctx, active, start, outageStart)...)
 	faultLog = append(faultLog, fmt.Sprintf("%.1f s store down and key revoked for %s", outageStart.Seconds(), longFaultTime))
 	for time.Since(start) < f.config.FaultTime && ctx.Err() == nil {
 		name, duration, fault := f.drawFault(rng, callers)
@@ -227,6 +234,35 @@
 	return active, faultLog
 }
 
+// disturbRegistry leaves odd entries in the registry all the time, and in half of the runs lets all registrations
+// lapse during the long outage. The targets register again after it, as they were. It returns the log of the lapse.
+func (f *fleet) disturbRegistry(ctx context.Context, active *sync.WaitGroup, start time.Time, outageStart time.Duration) []string {
+	rng := rand.New(rand.NewPCG(f.config.Seed, registrySequence))
+	lapses := rng.IntN(2) == 0
+	renewAfter := map[string]time.Duration{}
+	for _, id := range f.targetIDs() {
+		renewAfter[id] = time.Duration(rng.Int64N(int64(maxRenewTime)))
+	}
+	active.Go(func() {
+		for time.Since(start) < f.config.FaultTime && ctx.Err() == nil {
+			f.store.PutOddTarget(rng.IntN(1 << 16))
+			sleep(ctx, time.Duration(200+rng.IntN(2000))*time.Millisecond)
+		}
+	})
+	if !lapses {
+		return nil
+	}
+	for id, after := range renewAfter {
+		active.Go(func() {
+			sleep(ctx, outageStart+lapseTime)
+			renew := f.store.Lapse(id)
+			sleep(ctx, longFaultTime-lapseTime+after)
+			renew()
+		})
+	}
+	return []string{fmt.Sprintf("%.1f s all registrations lapse; targets register again within %s of the end of the outage", (outageStart + lapseTime).Seconds(), maxRenewTime)}
+}
+
 // drawFault draws a fault and returns its description, its duration for the log and a
 // function that injects it and returns when it has ended. A killed or stopped daemon starts
 // again a quarter of the drawn duration after its end, whatever the log says.
--- a/standin/fakeplatform/caller.go
+++ b/standin/fakeplatform/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"strings"
@@ -31,6 +32,18 @@
 	Timeout time.Duration // time for which the caller waits, as it tells the entry
 }
 
+// headerSentTarget tells the stand-ins of targets the request target that the caller sent. It is no header of the
+// platform: Recorder alone reads it.
+const headerSentTarget = "Sent-Target"
+
+// target returns the request target of the attempt, one of several odd but legal ones.
+func (a Request) target() string {
+	paths := []string{"x", "x?", "x??", "x?a=1&b=%20", "a%2Fb", "\"q\"?\"", "x;v=1?a;b", "caf\u00e9", "x//y"}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(a.ID)) // never fails
+	return "/" + string(a.Kind) + "/" + paths[h.Sum32()%uint32(len(paths))]
+}
+
 // Reply is the response that a caller received.
 type Reply struct {
 	Status     int
@@ -58,11 +71,14 @@
 	if a.Kind == Read {
 		method = http.MethodGet
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/"+string(a.Kind)+"/x", strings.NewReader("body of "+a.ID))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address, strings.NewReader("body of "+a.ID))
 	if err != nil {
 		return Reply{}, err
 	}
+	target := a.target()
+	r.URL.Opaque = target // sent as it is
 	r.Host = Host
+	r.Header.Set(headerSentTarget, target)
 	r.Header.Set("Attempt-Id", a.ID)
 	r.Header.Set("Deadline", milliseconds(a.Timeout))
 	r.Header.Set("Authorization", "Token "+a.Key)
--- a/standin/fakeplatform/group.go
+++ b/standin/fakeplatform/group.go
@@ -24,6 +24,9 @@
 	LateOrderShare float64
 	// CutStreamShare is the share of events, between 0 and 1, at which a stream is cut off.
 	CutStreamShare float64
+	// FailedResumeShare is the share of the streams to be resumed, between 0 and 1, that are answered with an
+	// error.
+	FailedResumeShare float64
 }
 
 // Group is a lock-step group of engines that checks that every pass runs under one map. It is
@@ -312,6 +315,10 @@
 	from := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		from = last + 1
+		if rand.Float64() < g.config.FailedResumeShare {
+			http.Error(w, "error", http.StatusInternalServerError)
+			return
+		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Seal", id)
--- a/standin/fakeplatform/operator.go
+++ b/standin/fakeplatform/operator.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -55,6 +56,26 @@
 	return nil
 }
 
+// Lapse removes the record of a target from the registry, and returns a function that writes it again as it was.
+func (s *Store) Lapse(id string) (renew func()) {
+	s.mu.Lock()
+	record := s.stream("keyed.servers").latestByKey[id].value
+	s.mu.Unlock()
+	s.Put("keyed.servers", id, nil)
+	return func() { s.Put("keyed.servers", id, record) }
+}
+
+// PutOddTarget writes an entry into the registry that names no target, as another writer may leave it there. n
+// chooses its form.
+func (s *Store) PutOddTarget(n int) {
+	records := []string{
+		strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000), `{"service":"draft","address":"127.0.0.1:70000","state":"ready"}`,
+		`{"service":"draft","address":"127.0.0.1:1","state":"ready","slots":1e999}`, `{"service":"draft","address":"127.0.0.1:0","state":"ready"}`,
+		`{"service":["draft"],"address":"127.0.0.1:1","state":"ready"}`, "\xff\x00{", `[]`,
+	}
+	s.Put("keyed.servers", "odd", []byte(records[n%len(records)]))
+}
+
 // Register writes the record of a ready target, started now, to the store's registry.
 func (s *Store) Register(id, service, address string) error {
 	record, err := json.Marshal(map[string]any{
--- a/standin/fakeplatform/recorder.go
+++ b/standin/fakeplatform/recorder.go
@@ -37,9 +37,13 @@
 	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != Organisation {
 		rec.addViolation("request %s reached target %s with an API key or without its organisation", r.Header.Get("Attempt-Id"), target)
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return false // the caller has disconnected
 	}
+	if sent := r.Header.Get(headerSentTarget); sent != "" && (r.RequestURI != sent || string(body) != "body of "+r.Header.Get("Attempt-Id")) {
+		rec.addViolation("request %s reached target %s as %q with body %q, sent as %q", r.Header.Get("Attempt-Id"), target, r.RequestURI, body, sent)
+	}
 	return true
 }
 
