Tests of three checks of a group's leader that nothing held

Removing one of these failed no test: the right to lead is counted from the start of the store call; a claim is dropped if a later one was announced meanwhile; the next switch waits after switches that were given up. Each has a quick test now, which was seen to fail with the check removed: TestRightToLeadCountsFromStartOfClaim, TestClaimThatHasARivalIsDropped, TestFailingSwitchesPause.

Left out: that not all orders go through one entry's copy.

--- a/targetd/rankagent/election_test.go
+++ b/targetd/rankagent/election_test.go
@@ -18,16 +18,26 @@
 // leadingAgent returns an agent that has claimed the leadership of a group after a long silence, the clock
 // by which it runs, and the number of its claims.
 func leadingAgent(t *testing.T) (*Agent, *time.Time, *int) {
+	t.Helper()
+	a, now, claims := claimingAgent(t, func(*Agent, *time.Time) {})
+	is.New(t).True(a.Leading())
+	return a, now, claims
+}
+
+// claimingAgent is leadingAgent with what happens during the call to the store. The agent need not lead.
+func claimingAgent(t *testing.T, duringClaim func(a *Agent, now *time.Time)) (*Agent, *time.Time, *int) {
 	t.Helper()
 	start := time.Now()
 	now, claims := start, 0
 	m, err := mesh.Listen(mesh.Config{Now: func() time.Time { return now }, Socket: &mesh.Socket{Send: func([]byte, netip.AddrPort) error { return nil }}})
 	is.New(t).NoErr(err)
-	a := New(Config{
+	var a *Agent
+	a = New(Config{
 		Self: mesh.Host{Name: "t1"}, Service: "s", Mesh: m, Now: func() time.Time { return now }, Log: zerolog.Nop(),
 		SteadyClock: func() freshness.Instant { return freshness.Instant(now.Sub(start)) },
 		Store: Store{ClaimLeadership: func(context.Context, string) (mapswitch.Fence, error) {
 			claims++
+			duringClaim(a, &now)
 			return ClaimFence(int64(claims)), nil
 		}},
 	})
@@ -35,10 +45,33 @@
 	a.setSettings(routes.Engine{Slots: 6})
 	now = now.Add(10 * time.Second)
 	a.claimIfLeaderSilent(t.Context())
-	is.New(t).True(a.Leading())
 	return a, &now, &claims
 }
 
+// TestRightToLeadCountsFromStartOfClaim guards against two leaders that act at the same time: the store records a
+// claim, its answer takes longer than others wait for a silent leader, and one of them has claimed meanwhile.
+func TestRightToLeadCountsFromStartOfClaim(t *testing.T) {
+	is := is.New(t)
+	a, _, claims := claimingAgent(t, func(_ *Agent, now *time.Time) { *now = now.Add(maxLeaderTimeout + time.Millisecond) })
+	is.Equal(*claims, 1)
+	is.True(a.currentLeader() == nil) // it gives no order and assigns no request
+}
+
+// TestClaimThatHasARivalIsDropped guards against a daemon that leads under its claim although a later claim of
+// another was announced while it waited for the store's answer.
+func TestClaimThatHasARivalIsDropped(t *testing.T) {
+	is := is.New(t)
+	rival := mesh.LeaderAnnouncement{Service: "s", Group: "g", Fence: ClaimFence(5), Rank: 2}
+	a, now, claims := claimingAgent(t, func(a *Agent, now *time.Time) { a.follow("t2", rival, *now) })
+	is.Equal(*claims, 1)
+	is.True(!a.Leading())
+	a.claimIfLeaderSilent(t.Context()) // nor does it claim again before the rival is silent
+	is.Equal(*claims, 1)
+	*now = now.Add(10 * time.Second)
+	a.claimIfLeaderSilent(t.Context())
+	is.Equal(*claims, 2)
+}
+
 // TestSupersededLeaderDoesNotClaimAgain guards against a leader that learns from a rank's report of a
 // higher fence, has not heard its successor yet, and claims the leadership at once.
 func TestSupersededLeaderDoesNotClaimAgain(t *testing.T) {
--- a/targetd/rankagent/group_test.go
+++ b/targetd/rankagent/group_test.go
@@ -54,6 +54,9 @@
 	// closedAnnouncements those that said that the group is closed.
 	announcements, closedAnnouncements int
 	lastAnnouncedOpen                  bool
+	// neverCopies makes engines accept copies of maps and never complete them.
+	neverCopies bool
+	orderedAt   []time.Time // when each map was first ordered
 	// refusing is set for the ranks whose engines refuse connections.
 	refusing [groupRanks]bool
 	// otherGroup adds a host to the fleet whose engine belongs to another group. otherReads counts
@@ -172,7 +175,10 @@
 	switch o.Kind {
 	case mapswitch.Prepare:
 		g.prepares++
-		g.ordered[o.Version] = true
+		if !g.ordered[o.Version] {
+			g.ordered[o.Version] = true
+			g.orderedAt = append(g.orderedAt, time.Now())
+		}
 		if o.Version <= e.highest || e.view.Armed != 0 {
 			if e.copying != 0 && e.copiedAt.IsZero() {
 				e.copiedAt = time.Now().Add(copyTime)
@@ -181,6 +187,9 @@
 			return mapswitch.Refused
 		}
 		e.highest, e.copying = o.Version, 0
+		if g.neverCopies {
+			return mapswitch.Done
+		}
 		e.view.Prepared, e.next = o.Version, layout[0][rank]
 	case mapswitch.Arm:
 		if e.view.Prepared != o.Version || g.pass >= o.Pass {
@@ -451,6 +460,26 @@
 	is.True(version > 0)
 }
 
+// TestFailingSwitchesPause guards against a group that orders one map after the other although each switch is given
+// up: copies make its passes longer.
+func TestFailingSwitchesPause(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newFakeGroup(20 * time.Millisecond)
+	g.neverCopies = true
+	g.start(t, ctx)
+	for i := 0; g.orderedMaps() < 3 && i < 1500; i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.Equal(len(g.orderedAt), 3)
+	first, second := g.orderedAt[1].Sub(g.orderedAt[0]), g.orderedAt[2].Sub(g.orderedAt[1])
+	const pause = 2 * time.Second // after two switches that were given up
+	is.True(second > first+pause-500*time.Millisecond)
+}
+
 // TestCopiesOfEarlierLeaderAreNotArmed guards against ranks that are armed with different contents under one version. A
 // leader orders copies of a map, one rank does not get the order, and the leader is gone before any copy is complete. Its
 // successor sees no trace of that map, and must not give its own map the same version.
