Close the listener of a stopping server only once

Seen: TestStopAnswersRequestsThatItHasRead failed once on a busy machine with "service directory did not stop: use of closed network connection". Cause: Stop closes the listener, and then http.Server.Close closes it again if the loop that accepts has not yet returned from the first close; the second close fails, and so does the stop. Evidence: TestStopOfIdleServerSucceeds delays that return and fails without the change. After: the listener is closed once; both callers get the result of that.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -115,7 +115,15 @@
 // trackingListener accepts connections that tell whether a request has begun to arrive.
 type trackingListener struct {
 	net.Listener
-	server *Server
+	server    *Server
+	closeOnce sync.Once
+	closeErr  error
+}
+
+// Close closes the listener. Both Stop and the HTTP server close it, and a second close would fail.
+func (l *trackingListener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 // Accept waits for the next connection.
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -212,3 +212,31 @@
 	is.Equal(server.Stop(ctx), context.DeadlineExceeded)
 	is.NoErr(server.Close())
 }
+
+// lateListener is a listener whose Accept returns some time after its Close.
+type lateListener struct {
+	net.Listener
+}
+
+// Accept waits for the next connection.
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return conn, err
+}
+
+// TestStopOfIdleServerSucceeds guards against a stop that fails because it closes the listener again before the
+// HTTP server has seen the first close.
+func TestStopOfIdleServerSucceeds(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(lateListener{listener}, http.NotFoundHandler()) }()
+	time.Sleep(50 * time.Millisecond) // the server accepts
+	is.NoErr(server.Stop(t.Context()))
+	is.NoErr(<-served)
+}
