Keep evacuated zones free of requests, and cold targets within their rate

Nothing read the operators' record, nor the time for which a target is cold.

Evacuated zones are part of what entries read from the configuration stream, so the proof of freshness covers them; peers get them with the configuration. Entries and group leaders send nothing there. A cold target is one with a rate limit for a time, kept by the parts that keep the limits that targets name. Requests to targets carry their priority, of the organisation before that of the route.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -48,9 +48,9 @@
 	// exitReserve is the part of the stop time left for the rest of the process when
 	// running requests are cut off.
 	exitReserve = 300 * time.Millisecond
-	// revocationBoundShare is the share of the bound on revoked keys that the age of the routes'
-	// freshness proof may use. The rest is for the request to reach its target.
-	revocationBoundShare = 0.75
+	// proofAgeShare is the share of the bounds on revoked keys and on evacuated zones that the age of the
+	// routes' freshness proof may use. The rest is for the request to reach its target.
+	proofAgeShare = 0.75
 	// retryReserveShare is the share of the fleet's retry reserve that the known entries
 	// use, because more entries than the known ones may be running.
 	retryReserveShare = 0.5
@@ -85,6 +85,8 @@
 	// error counts as no answer of the engine.
 	SendOrder       func(ctx context.Context, o mesh.Order) (mapswitch.Result, error)
 	RevocationBound time.Duration // how long a revoked key may still be accepted
+	EvacuationBound time.Duration // how long targets of an evacuated zone may still get requests; 0: no bound
+	ColdOverage     float64       // factor of the published rate that a cold target takes for a second; 0: not known
 	StopTimeout     time.Duration // how long a planned stop may take
 	RetryShare      float64       // retries allowed per request, in the fleet
 	RetryReserve    float64       // retry reserve of the whole fleet, in retries
@@ -152,6 +154,13 @@
 	})
 	s.metrics.set.NewGauge(`camphormill_targets_in_grace`, func() float64 { return float64(s.view.Targets().Missing()) })
 	s.metrics.set.NewGauge(`camphormill_prompt_parts_suspected`, func() float64 { return float64(len(s.relay.SuspectedParts())) })
+	s.metrics.set.NewGauge(`camphormill_zones_evacuated`, func() float64 {
+		if table := s.view.Routes(); table != nil {
+			return float64(len(table.EvacuatedZones()))
+		}
+		return 0
+	})
+	s.metrics.set.NewGauge(`camphormill_targets_cold`, func() float64 { return float64(s.view.Targets().ColdCount(time.Now())) })
 	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
@@ -160,7 +169,9 @@
 		OnRestored:       func() { go s.restoreHosts() },
 	})
 	s.slots = relay.NewSlotClient(relay.SlotClientConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "places")})
-	s.limits = relay.NewLimits(relay.LimitsConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits")})
+	s.limits = relay.NewLimits(relay.LimitsConfig{
+		Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits"), ColdRateFactor: relay.ColdRateFactor(c.ColdOverage),
+	})
 	s.client = httpclient.New(httpclient.Config{
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
 		Match: c.MatchResponse, Now: time.Now,
@@ -316,7 +327,11 @@
 
 // maxProofAge is the age of the routes' freshness proof from which the entry refuses requests.
 func (s *Server) maxProofAge() time.Duration {
-	return time.Duration(revocationBoundShare * float64(s.config.RevocationBound))
+	bound := s.config.RevocationBound
+	if evacuation := s.config.EvacuationBound; evacuation > 0 {
+		bound = min(bound, evacuation)
+	}
+	return time.Duration(proofAgeShare * float64(bound))
 }
 
 // Addresses returns the public addresses of the entries that accept callers, with that of
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -78,11 +78,11 @@
 			Hosts:    func(context.Context) ([]mesh.Host, error) { return nil, nil },
 		},
 		Store: storeview.Store{
-			ReadConfiguration: func(_ context.Context, from int64) ([]byte, int64, error) {
+			ReadPublished: func(_ context.Context, from int64) (storeview.Published, int64, error) {
 				if from == 1 {
-					return nil, 1, nil
+					return storeview.Published{}, 1, nil
 				}
-				return []byte("x"), 1, nil
+				return storeview.Published{Configuration: []byte("x")}, 1, nil
 			},
 			ParseRoutes:       func([]byte) (*routes.Table, error) { return table, nil },
 			ReadTargetRecords: func(_ context.Context, end int64) (storeview.Records, error) { return storeview.Records{End: end}, nil },
@@ -303,10 +303,10 @@
 	is := is.New(t)
 	c := newConfig(t, 0)
 	var down atomic.Bool
-	read := c.Store.ReadConfiguration
-	c.Store.ReadConfiguration = func(ctx context.Context, from int64) ([]byte, int64, error) {
+	read := c.Store.ReadPublished
+	c.Store.ReadPublished = func(ctx context.Context, from int64) (storeview.Published, int64, error) {
 		if down.Load() {
-			return nil, 0, errors.New("store unreachable")
+			return storeview.Published{}, 0, errors.New("store unreachable")
 		}
 		return read(ctx, from)
 	}
--- a/entryd/relay/availability.go
+++ b/entryd/relay/availability.go
@@ -14,6 +14,10 @@
 // entry at once, also while the registry still lists the target as ready.
 func (rl *Relay) recordAvailability(c *call, t registry.Target, response *http.Response) {
 	said := rl.config.Protocol.Availability(response)
+	if !said.ColdUntil.IsZero() && rl.config.Limits.recordCold(t, said.ColdUntil) {
+		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Time("until", said.ColdUntil).
+			Msg("target says that it is cold")
+	}
 	if said.Leaving && rl.loads.recordLeaving(t) {
 		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("service", t.Service).Str("target", t.ID).Str("address", t.Address).
 			Msg("target says that it leaves; it gets no more requests from this entry")
--- a/entryd/relay/harness_test.go
+++ b/entryd/relay/harness_test.go
@@ -143,11 +143,11 @@
 	})
 	errStoreDown := errors.New("store unreachable")
 	store := storeview.Store{
-		ReadConfiguration: func(context.Context, int64) ([]byte, int64, error) {
+		ReadPublished: func(context.Context, int64) (storeview.Published, int64, error) {
 			if e.storeDown.Load() {
-				return nil, 0, errStoreDown
+				return storeview.Published{}, 0, errStoreDown
 			}
-			return []byte("published"), 1, nil
+			return storeview.Published{Configuration: []byte("published")}, 1, nil
 		},
 		ParseRoutes: func([]byte) (*routes.Table, error) { return table, nil },
 		ReadTargetRecords: func(_ context.Context, from int64) (storeview.Records, error) {
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/mesh"
 	"camphormill.dev/parts/registry"
+	"camphormill.dev/parts/routes"
 )
 
 const (
@@ -37,9 +39,17 @@
 	Mesh *mesh.Mesh
 	Now  func() time.Time
 	Log  zerolog.Logger
+	// ColdRateFactor is the share of the published rate of cold targets that all entries use; see
+	// ColdRateFactor. Zero counts as 1.
+	ColdRateFactor float64
 }
 
-// Limits keeps the requests of all entries together within the rates that targets name. Entries tell
+// ColdRateFactor returns the share of the published rate of cold targets that keeps a burst within overage
+// times that rate in each second.
+func ColdRateFactor(overage float64) float64 { return overage / (1 + limit.BurstSeconds) }
+
+// Limits keeps the requests of all entries together within the rates that targets name, and within the
+// published rate of targets that are cold. Entries tell
 // each other about a limit as soon as one learns of it. For each limited target, one entry counts:
 // the one with the highest hash of its name and the target's ID among the ready entries, on which
 // all of them agree without a message. An entry that gets no answer from it keeps to an equal share
@@ -54,6 +64,7 @@
 	counted  map[string]limit.Bucket            // of the targets for which this entry counts, by ID
 	alone    map[string]limit.Bucket            // of the targets whose counting entry does not answer
 	askAfter map[string]time.Time               // when to ask again for a target that is at its limit
+	cold     map[string]time.Time               // until when targets are cold by what they said in responses, by ID
 	pending  map[string]chan mesh.LimitResponse // by request ID
 }
 
@@ -67,7 +78,7 @@
 func NewLimits(c LimitsConfig) *Limits {
 	return &Limits{
 		config: c, named: map[string]namedLimit{}, counted: map[string]limit.Bucket{}, alone: map[string]limit.Bucket{},
-		askAfter: map[string]time.Time{}, pending: map[string]chan mesh.LimitResponse{},
+		askAfter: map[string]time.Time{}, cold: map[string]time.Time{}, pending: map[string]chan mesh.LimitResponse{},
 	}
 }
 
@@ -130,6 +141,41 @@
 			l.forget(target)
 		}
 	}
+	now := l.config.Now()
+	maps.DeleteFunc(l.cold, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// recordCold records until when a target is cold by what it said in a response, and reports whether it was not
+// known to be cold.
+func (l *Limits) recordCold(t registry.Target, until time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	known := now.Before(t.ColdUntil) || now.Before(l.cold[t.ID])
+	l.cold[t.ID] = until
+	return !known
+}
+
+// coldRate returns the requests per second that a target takes from all entries together while it is cold;
+// 0 if it is not cold. The caller holds the lock.
+func (l *Limits) coldRate(now time.Time, service routes.Service, t registry.Target) float64 {
+	if service.ColdPerSecond <= 0 || (!now.Before(t.ColdUntil) && !now.Before(l.cold[t.ID])) {
+		return 0
+	}
+	if l.config.ColdRateFactor > 0 {
+		return service.ColdPerSecond * l.config.ColdRateFactor
+	}
+	return service.ColdPerSecond
+}
+
+// rateOf returns the requests per second that a target takes from all entries together; 0 for no limit. The
+// caller holds the lock.
+func (l *Limits) rateOf(now time.Time, service routes.Service, t registry.Target) float64 {
+	named, cold := l.named[t.ID].perSecond, l.coldRate(now, service, t)
+	if named > 0 && cold > 0 {
+		return min(named, cold)
+	}
+	return max(named, cold)
 }
 
 // Count returns the number of targets that name a limit.
@@ -151,43 +197,72 @@
 	return limits[:min(len(limits), maxNamedLimits)]
 }
 
-// ofEngines returns the limits of a service's engines by their addresses, for the leader of a group.
-func (l *Limits) ofEngines(targets registry.Registry, service string) []mesh.EngineLimit {
-	var limits []mesh.EngineLimit
+// ofEngines returns the limits of a service's engines by their addresses, for the leader of a group. Of many,
+// a random choice goes into each message.
+func (l *Limits) ofEngines(targets registry.Registry, service routes.Service) []mesh.EngineLimit {
+	var limited []registry.Target
+	if service.ColdPerSecond > 0 {
+		limited = l.coldTargets(targets, service.Name)
+	}
 	for _, named := range l.Named() {
-		if t, ok := targets.Target(named.Target); ok && t.Service == service {
-			limits = append(limits, mesh.EngineLimit{Engine: t.Address, PerSecond: named.PerSecond})
+		if t, ok := targets.Target(named.Target); ok && t.Service == service.Name {
+			limited = append(limited, t)
+		}
+	}
+	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	var limits []mesh.EngineLimit
+	for _, t := range limited[:min(len(limited), maxNamedLimits)] {
+		if perSecond := l.rateOf(now, service, t); perSecond > 0 {
+			limits = append(limits, mesh.EngineLimit{Engine: t.Address, PerSecond: perSecond})
 		}
 	}
 	return limits
 }
 
+// coldTargets returns the targets of a service that are cold.
+func (l *Limits) coldTargets(targets registry.Registry, service string) []registry.Target {
+	now := l.config.Now()
+	cold := targets.Cold(service, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, until := range l.cold {
+		if t, ok := targets.Target(id); ok && t.Service == service && now.Before(until) && !now.Before(t.ColdUntil) {
+			cold = append(cold, t)
+		}
+	}
+	return cold
+}
+
 // acquire asks for a request at a target. If the target is at its limit, it returns false and the
 // time after which to ask again.
-func (l *Limits) acquire(ctx context.Context, target string) (bool, time.Time) {
-	now := l.config.Now()
+func (l *Limits) acquire(ctx context.Context, service routes.Service, t registry.Target) (bool, time.Time) {
+	now, target := l.config.Now(), t.ID
 	l.mu.Lock()
-	known, limited := l.named[target]
-	if again := l.askAfter[target]; limited && again.After(now) {
+	perSecond := l.rateOf(now, service, t)
+	if again := l.askAfter[target]; perSecond > 0 && again.After(now) {
 		l.mu.Unlock()
 		return false, again
 	}
+	request := mesh.LimitRequest{Target: target, PerSecond: perSecond, Cold: l.named[target].perSecond != perSecond}
 	counter := l.counterOf(target)
 	l.mu.Unlock()
-	if !limited {
+	if perSecond <= 0 {
 		return true, time.Time{}
 	}
 	response, answered := mesh.LimitResponse{}, true
 	if counter == l.config.Mesh.Self().Name {
-		response = l.count(mesh.LimitRequest{Target: target, PerSecond: known.perSecond})
+		response = l.count(request)
 	} else {
-		response, answered = l.ask(ctx, counter, mesh.LimitRequest{Target: target, PerSecond: known.perSecond})
+		response, answered = l.ask(ctx, counter, request)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now = l.config.Now()
 	if !answered {
-		response = l.countAlone(now, target, known.perSecond)
+		response = l.countAlone(now, target, perSecond)
 	} else {
 		delete(l.alone, target)
 	}
@@ -247,7 +322,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
-	if _, ok := l.named[request.Target]; !ok {
+	if _, ok := l.named[request.Target]; !ok && !request.Cold {
 		l.set(request.Target, request.PerSecond) // the message that told the others was lost
 	}
 	b, ok := l.counted[request.Target]
@@ -321,7 +396,7 @@
 		if !ok {
 			break
 		}
-		granted, again := rl.config.Limits.acquire(ctx, t.ID)
+		granted, again := rl.config.Limits.acquire(ctx, c.service, t)
 		if granted {
 			return t, nil
 		}
@@ -330,6 +405,9 @@
 		}
 		passedOver = append(passedOver[:len(passedOver):len(passedOver)], t.ID)
 	}
+	if len(targets) == 0 && len(rl.config.View.Targets().Serving(c.service.Name)) > 0 {
+		return registry.Target{}, &refusal{http.StatusServiceUnavailable, "targets_evacuated", defaultRetryAfter}
+	}
 	now, reason := rl.config.Now(), "targets_limited"
 	if freeAt.IsZero() {
 		freeAt, reason = rl.loads.firstPauseEnd(now, targets), "targets_paused"
--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -31,6 +31,7 @@
 type TargetHeaders struct {
 	TargetID     string // ID of the target; any other target refuses the request
 	Organisation string
+	Priority     int           // 0 is the most urgent
 	Remaining    time.Duration // time left until the request's deadline
 	LastEventID  string        // ID of the last event the relay has sent to the caller; empty at the stream's start
 }
@@ -54,6 +55,7 @@
 type Availability struct {
 	Leaving   bool          // it is about to stop and wants no more
 	PausedFor time.Duration // it wants none for this time
+	ColdUntil time.Time     // it is cold until then; zero if it does not say so
 }
 
 // Protocol translates between HTTP headers and the types of this package.
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -129,6 +130,7 @@
 	info          RequestInfo
 	organisation  routes.Organisation
 	route         routes.Route
+	priority      int // 0 is the most urgent
 	service       routes.Service
 	request       *http.Request
 	body          []byte
@@ -319,15 +321,25 @@
 			grant.release()
 		}
 	}
-	t, refused := rl.pickWithinLimits(ctx, c, targets.Serving(c.service.Name))
+	t, refused := rl.pickWithinLimits(ctx, c, rl.withoutEvacuated(targets.Serving(c.service.Name)))
 	return t, noGrant, refused
 }
 
+// withoutEvacuated returns the targets that are in no evacuated zone.
+func (rl *Relay) withoutEvacuated(targets []registry.Target) []registry.Target {
+	table := rl.config.View.Routes()
+	if len(table.EvacuatedZones()) == 0 {
+		return targets
+	}
+	return slices.DeleteFunc(targets, func(t registry.Target) bool { return table.IsEvacuated(t.Zone) })
+}
+
 // readyTargetAt returns the target at an engine's address if it is ready, belongs to the
-// request's service and wants requests.
+// request's service, wants requests and is in no evacuated zone.
 func (rl *Relay) readyTargetAt(c *call, engine string) (registry.Target, bool) {
 	t, ok := rl.config.View.Targets().AtAddress(engine)
-	return t, ok && t.Service == c.service.Name && t.State == registry.Ready && rl.loads.available(rl.config.Now(), t)
+	return t, ok && t.Service == c.service.Name && t.State == registry.Ready && rl.loads.available(rl.config.Now(), t) &&
+		!rl.config.View.Routes().IsEvacuated(t.Zone)
 }
 
 // newSlotRequest returns the message that asks the group's leader for a slot.
@@ -340,7 +352,8 @@
 		PromptTokens: c.info.PromptTokens, Movable: rl.movable(c),
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
-	request.Limits = rl.config.Limits.ofEngines(targets, c.service.Name)
+	request.Limits = rl.config.Limits.ofEngines(targets, c.service)
+	request.EvacuatedZones = rl.config.View.Routes().EvacuatedZones()
 	request.ExcludedEngines = rl.loads.unavailable(now, targets, c.service.Name)
 	for _, id := range c.failedTargets {
 		if t, ok := targets.Target(id); ok {
@@ -388,7 +401,7 @@
 	h := c.request.Header.Clone()
 	removeHopByHop(h)
 	rl.config.Protocol.SetHeaders(h, c.info, TargetHeaders{
-		TargetID: t.ID, Organisation: c.organisation.Name, Remaining: c.deadline.Sub(rl.config.Now()), LastEventID: c.lastEventID,
+		TargetID: t.ID, Organisation: c.organisation.Name, Priority: c.priority, Remaining: c.deadline.Sub(rl.config.Now()), LastEventID: c.lastEventID,
 	})
 	out := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/entryd/storeview/peers.go
+++ b/entryd/storeview/peers.go
@@ -97,19 +97,20 @@
 
 // applyPeerConfiguration applies a configuration read by a peer and reports whether it was
 // newer than the one known here and could be expanded. Without AsOf nothing is applied,
-// because the age of the configuration would be unknown.
+// because the age of the configuration would be unknown. Neither is an update of an older
+// daemon that knows no evacuated zones.
 func (v *View) applyPeerConfiguration(m mesh.StoreUpdate) bool {
 	v.mu.Lock()
 	known := m.Configuration <= v.routesOffset
 	v.mu.Unlock()
-	if known || len(m.Published) == 0 || m.AsOf == 0 {
+	if known || len(m.Published) == 0 || m.AsOf == 0 || !m.HasZones {
 		return false
 	}
-	published, err := expand(m.Published)
+	configuration, err := expand(m.Published)
 	if err != nil {
 		v.config.Log.Warn().Err(err).Msg("cannot expand a peer's configuration; reading the store instead")
 		return false
 	}
-	v.applyPublished(published, m.Configuration, m.AsOf)
+	v.applyPublished(Published{Configuration: configuration, EvacuatedZones: &m.EvacuatedZones}, m.Configuration, m.AsOf)
 	return true
 }
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,7 +29,8 @@
 	targets []registry.Target
 	removed [][]byte // IDs of removed targets, or + and the ID of one that registers as it was; removed[i] has offset i+1
 	calls   atomic.Int64
-	era     int64 // number of restores from an older copy
+	era     int64    // number of restores from an older copy
+	zones   []string // evacuated zones, as of the version
 }
 
 // eraOffset is the difference between the offsets of two eras.
@@ -37,20 +39,21 @@
 var errStoreDown = errors.New("store unreachable")
 
 // access returns one entry's access to the store. While storeCutOff is set,
-// ReadConfiguration fails, which ends each read.
+// ReadPublished fails, which ends each read.
 func (s *fakeStore) access(storeCutOff *atomic.Bool) storeview.Store {
 	return storeview.Store{
-		ReadConfiguration: func(_ context.Context, from int64) ([]byte, int64, error) {
+		ReadPublished: func(_ context.Context, from int64) (storeview.Published, int64, error) {
 			s.calls.Add(1)
 			if storeCutOff.Load() {
-				return nil, 0, errStoreDown
+				return storeview.Published{}, 0, errStoreDown
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if from == s.version {
-				return nil, s.version, nil
+				return storeview.Published{}, s.version, nil
 			}
-			return []byte(strconv.FormatInt(s.version, 10)), s.version, nil
+			zones := slices.Clone(s.zones)
+			return storeview.Published{Configuration: []byte(strconv.FormatInt(s.version, 10)), EvacuatedZones: &zones}, s.version, nil
 		},
 		ParseRoutes: func(published []byte) (*routes.Table, error) {
 			version, err := strconv.ParseInt(string(published), 10, 64)
@@ -192,6 +195,43 @@
 	is.True(f.views[2].Current(context.Background(), 2*time.Second))
 }
 
+// evacuate changes the evacuated zones in the store.
+func (f *fleet) evacuate(zones ...string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.version++
+	f.store.zones = zones
+}
+
+// allEvacuate reports whether the routes of all entries name these zones as evacuated.
+func (f *fleet) allEvacuate(zones ...string) bool {
+	return !slices.ContainsFunc(f.views, func(v *storeview.View) bool { return !slices.Equal(v.Routes().EvacuatedZones(), zones) })
+}
+
+// TestEvacuationReachesCutOffEntry guards against an entry that goes on sending to an evacuated zone, or that
+// leaves out a zone for good, because it hears of the change only from its peers.
+func TestEvacuationReachesCutOffEntry(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 4)
+	f.storeCutOff[2].Store(true)
+	f.evacuate("z")
+	is.True(eventually(2*time.Second, func() bool { return f.allEvacuate("z") }))
+	f.evacuate()
+	is.True(eventually(2*time.Second, func() bool { return f.allEvacuate() }))
+}
+
+// TestUpdateOfOlderDaemonEndsNoEvacuation guards against an update of a peer that knows no evacuations, which
+// would put a newer configuration in force without them.
+func TestUpdateOfOlderDaemonEndsNoEvacuation(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	f.evacuate("z")
+	is.True(eventually(2*time.Second, func() bool { return f.allEvacuate("z") }))
+	f.views[0].ApplyUpdate("old", mesh.StoreUpdate{Configuration: 3, Published: []byte("not read"), AsOf: freshness.Now()})
+	is.True(f.allEvacuate("z"))
+	is.Equal(f.views[0].Routes().Version(), int64(2))
+}
+
 // TestProofExpiresWithoutStore guards against entries that renew each other's freshness
 // proofs while none of them reaches the store.
 func TestProofExpiresWithoutStore(t *testing.T) {
--- a/entryd/storeview/targets.go
+++ b/entryd/storeview/targets.go
@@ -129,9 +129,10 @@
 		return r.Without(id, v.graceEnd())
 	}
 	returned := r.IsMissing(id)
-	if !known || returned || previous != *t {
+	next := r.With(*t)
+	if current, _ := next.Target(id); !known || returned || previous != current {
 		v.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("state", string(t.State)).
-			Bool("returned", returned).Msg("target changed")
+			Time("cold_until", t.ColdUntil).Bool("returned", returned).Msg("target changed")
 	}
-	return r.With(*t)
+	return next
 }
--- a/parts/limit/bucket.go
+++ b/parts/limit/bucket.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// burstSeconds is the time over which a Bucket collects requests that were not sent. It holds at
+// BurstSeconds is the time over which a Bucket collects requests that were not sent. It holds at
 // least one request.
-const burstSeconds = 0.5
+const BurstSeconds = 0.5
 
 // Bucket grants requests up to a rate. It is immutable; its methods return the bucket that follows.
 // The zero Bucket grants nothing.
@@ -27,7 +27,7 @@
 	return Bucket{perSecond: perSecond, filledAt: now}
 }
 
-func burst(perSecond float64) float64 { return max(1, perSecond*burstSeconds) }
+func burst(perSecond float64) float64 { return max(1, perSecond*BurstSeconds) }
 
 // PerSecond returns the rate.
 func (b Bucket) PerSecond() float64 { return b.perSecond }
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -82,6 +82,10 @@
 	// Published is the newest configuration, compressed. It is empty if the read did
 	// not return one.
 	Published []byte `json:"published,omitempty"`
+	// EvacuatedZones holds the zones whose targets must get no requests, as of the same offset.
+	// HasZones is set with Published by all daemons that know of evacuations.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
+	HasZones       bool     `json:"has_zones,omitempty"`
 	// AsOf is Heartbeat.Sent of the newest heartbeat from the receiver that had arrived
 	// before the read was sent. By the clock of the receiver, the data is therefore
 	// at least as recent as AsOf. It is 0 if there was no heartbeat.
@@ -112,6 +116,8 @@
 	Movable         bool     `json:"movable,omitempty"` // the running request may continue at another engine
 	// Limits holds rate limits of the service's engines that the sender knows.
 	Limits []EngineLimit `json:"limits,omitempty"`
+	// EvacuatedZones holds the zones whose engines must get no requests.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // SlotResponse is the response to a SlotRequest. It grants a slot if Engine is set, and refuses
@@ -269,6 +275,8 @@
 	ID        string  `json:"id"`
 	Target    string  `json:"target"`     // ID
 	PerSecond float64 `json:"per_second"` // limit that the sender knows
+	// Cold is set if the limit holds because the target is cold, not because the target names it.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // LimitResponse is the response to the LimitRequest with the same ID.
--- a/parts/rankscheduler/limits.go
+++ b/parts/rankscheduler/limits.go
@@ -56,7 +56,10 @@
 		return 0
 	}
 	shortest := time.Duration(math.MaxInt64)
-	for engine := range s.ranks {
+	for engine, rank := range s.ranks {
+		if s.isEvacuated(now, rank.Zone) {
+			continue
+		}
 		shortest = min(shortest, s.nextIn(now, engine))
 	}
 	return shortest
--- a/parts/rankscheduler/limits_test.go
+++ b/parts/rankscheduler/limits_test.go
@@ -59,3 +59,30 @@
 	is.Equal(offer("c").Engine, "e0")
 	is.Equal(offer("d").Engine, "e0")
 }
+
+// TestEvacuatedRanksGetNoRequests guards against slots at ranks in an evacuated zone, also for requests that can go
+// nowhere else or that move, and against a capacity that still counts them.
+func TestEvacuatedRanksGetNoRequests(t *testing.T) {
+	is := is.New(t)
+	s := rankscheduler.New()
+	now := time.Unix(0, 0)
+	ranks := []rankscheduler.Rank{{Engine: "e0", Zone: "a", Slots: 2, Slowdown: 1}, {Engine: "e1", Zone: "b", Slots: 2, Slowdown: 1}}
+	s.SetRanks(now, ranks)
+	offer := func(id string) rankscheduler.Decision {
+		return s.Offer(now, rankscheduler.Request{ID: id, Zone: "a", Exclude: []string{"e1"}, StartBy: now, WaitUntil: now, Movable: true})
+	}
+	is.Equal(offer("a").Engine, "e0")
+	s.SetEvacuated(now, []string{"a"})
+	s.SetRanks(now, ranks)
+	is.Equal(offer("b").Engine, "e1")                    // although the request excludes it
+	is.Equal(len(s.MoveOffSlowRanks(now)), 0)            // what runs there ends there
+	is.Equal(offer("c").Engine, "e1")                    // the one that runs in the zone takes no slot of another rank
+	is.True(offer("d").Engine == "" && s.Waiting() == 0) // refused, not queued
+	s.SetEvacuated(now, []string{"a", "b"})
+	s.Release(now, "c")
+	d := offer("e")
+	is.True(d.Engine == "" && !d.Queued)
+	now = now.Add(5 * time.Second) // no request names the zones any more
+	s.SetRanks(now, ranks)
+	is.True(offer("f").Engine != "")
+}
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -115,16 +115,20 @@
 	slots map[string]int
 	// limits holds the rate limits of engines by address.
 	limits map[string]rankLimit
+	// evacuated holds the zones whose engines must get no requests, with the time at which each is
+	// forgotten.
+	evacuated map[string]time.Time
 }
 
 // New returns a Scheduler without ranks.
 func New() *Scheduler {
-	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: admission.NewQueue(0), refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}}
+	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: admission.NewQueue(0), refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
 func (s *Scheduler) SetRanks(now time.Time, ranks []Rank) {
 	s.dropExpiredLimits(now)
+	s.dropExpiredEvacuations(now)
 	s.ranks = make(map[string]Rank, len(ranks))
 	for _, r := range ranks {
 		s.ranks[r.Engine] = r
@@ -141,8 +145,12 @@
 		if r.Slowdown > slowdownLimit {
 			s.slots[r.Engine] = 0
 		}
-		// Requests that a rank ran before it became slow take no slots of other ranks.
-		capacity += max(s.slots[r.Engine], min(running[r.Engine], r.Slots))
+		slots := s.slots[r.Engine]
+		if s.isEvacuated(now, r.Zone) {
+			slots = 0
+		}
+		// Requests that a rank ran before it became slow or was evacuated take no slots of other ranks.
+		capacity += max(slots, min(running[r.Engine], r.Slots))
 	}
 	s.queue.SetCapacity(capacity)
 }
@@ -235,7 +243,7 @@
 	if _, ok := s.waiting[r.ID]; ok {
 		return Decision{ID: r.ID, Queued: true}
 	}
-	if len(s.ranks) == 0 {
+	if !s.hasUsableRank(now) {
 		return s.refuse(now, r, now)
 	}
 	if wait := s.limitsAllowIn(now); wait > 0 {
@@ -308,15 +316,16 @@
 }
 
 // bestRank returns the engine of the rank whose part of a pass stays shortest, with a
-// preference for the zone of the entry, or "" if every engine is excluded or at its rate limit.
+// preference for the zone of the entry, or "" if every engine is excluded, at its rate limit or in an evacuated
+// zone.
 func (s *Scheduler) bestRank(now time.Time, zone string, exclude []string) string {
 	loads := s.loads(now)
 	best, lowest := "", math.Inf(1)
 	for _, engine := range slices.Sorted(maps.Keys(s.ranks)) {
-		if slices.Contains(exclude, engine) || s.nextIn(now, engine) > 0 {
+		rank := s.ranks[engine]
+		if slices.Contains(exclude, engine) || s.nextIn(now, engine) > 0 || s.isEvacuated(now, rank.Zone) {
 			continue
 		}
-		rank := s.ranks[engine]
 		cost := max(rank.Slowdown, 1) * (fixedPassCost + loads[engine])
 		if rank.Zone != zone {
 			cost += crossZoneCost
@@ -377,7 +386,8 @@
 		}
 	}
 	refused := s.queue.Expired(now)
-	for len(s.ranks) > 0 && s.limitsAllowIn(now) == 0 {
+	usable := s.hasUsableRank(now)
+	for usable && s.limitsAllowIn(now) == 0 {
 		run, late := s.queue.Next(now)
 		refused = append(refused, late...)
 		if run == nil {
@@ -387,7 +397,7 @@
 		delete(s.waiting, run.ID)
 		decisions = append(decisions, s.assign(now, r))
 	}
-	if len(s.ranks) == 0 {
+	if !usable {
 		refused = append(refused, s.queue.Flush()...)
 	}
 	for _, late := range refused {
--- a/parts/registry/registry.go
+++ b/parts/registry/registry.go
@@ -28,6 +28,21 @@
 	Slots   int // requests that the target runs concurrently
 	State   State
 	Started time.Time // orders incarnations
+	// ColdUntil is when the target stops being cold, by the clock of the entry; zero if it is not cold.
+	ColdUntil time.Time
+}
+
+// coldTolerance is the difference up to which two reports of a cold target name the same end. Reports
+// come with a lag that varies.
+const coldTolerance = 1500 * time.Millisecond
+
+// withColdOf returns the target with the end of the cold time that an earlier entry of the same incarnation
+// named, if it names about the same.
+func (t Target) withColdOf(old Target) Target {
+	if t.Started.Equal(old.Started) && !t.ColdUntil.IsZero() && t.ColdUntil.Sub(old.ColdUntil).Abs() < coldTolerance {
+		t.ColdUntil = old.ColdUntil
+	}
+	return t
 }
 
 // Registry is an immutable snapshot of all targets. The zero Registry is empty.
@@ -59,6 +74,9 @@
 	if known && old.State == Draining && t.State == Ready && old.Started.Equal(t.Started) {
 		t = old
 	}
+	if known {
+		t = t.withColdOf(old)
+	}
 	if known && old == t && !r.IsMissing(t.ID) {
 		return r
 	}
@@ -167,6 +185,38 @@
 	return false
 }
 
+// HasZone reports whether any target is in the zone.
+func (r Registry) HasZone(zone string) bool {
+	for _, t := range r.targets {
+		if t.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Cold returns the targets of a service that are cold at the time now, in no particular order.
+func (r Registry) Cold(service string, now time.Time) []Target {
+	var cold []Target
+	for _, t := range r.targets {
+		if t.Service == service && now.Before(t.ColdUntil) {
+			cold = append(cold, t)
+		}
+	}
+	return cold
+}
+
+// ColdCount returns the number of targets that are cold at the time now.
+func (r Registry) ColdCount(now time.Time) int {
+	n := 0
+	for _, t := range r.targets {
+		if now.Before(t.ColdUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Target returns a target by id.
 func (r Registry) Target(id string) (Target, bool) {
 	t, ok := r.targets[id]
--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -1,10 +1,11 @@
 // Package routes holds the configuration that operators publish for relayed requests,
 // and decides for an entry which route, service and organisation a request belongs to.
 // It covers routes from host names and path prefixes to services, the API keys of
-// organisations, and limits on what callers send.
+// organisations, limits on what callers send, and the zones that operators have evacuated.
 package routes
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	Repeat        RepeatPolicy
 	Timeout       time.Duration // from arrival to the end of the response; 0: no timeout
 	FirstByteGoal time.Duration // from arrival to the first byte of a useful response
+	PauseGoal     time.Duration // longest pause between two events of a stream that callers accept; 0: none
 	Priority      int           // 0 is the highest
 	Services      []WeightedService
 	MaxAttempts   int  // maximum number of targets that one request is sent to
@@ -82,12 +84,23 @@
 	Name     string
 	MaxConns int     // maximum connections to one target from all callers
 	Engine   *Engine // nil for a plain service
+	// ColdPerSecond is the number of requests per second that a cold target takes from all entries
+	// together; 0: no limit.
+	ColdPerSecond float64
 }
 
-// Organisation is an owner of API keys, with the priority of its requests.
+// Organisation is an owner of API keys. Its priority goes before that of the route.
 type Organisation struct {
 	Name     string
-	Priority int
+	Priority *int // 0 is the highest; nil: the priority of the route holds
+}
+
+// PriorityOf returns the priority of the organisation's requests on a route; 0 is the highest.
+func (o Organisation) PriorityOf(r Route) int {
+	if o.Priority != nil {
+		return *o.Priority
+	}
+	return r.Priority
 }
 
 // Limits bounds what a caller may send.
@@ -105,6 +118,8 @@
 	routes   map[string][]Route // by host, longest prefix first
 	services map[string]Service
 	keys     map[string]Organisation // by API key; nil if no keys are required
+	// evacuated holds the zones whose targets must get no requests.
+	evacuated map[string]bool
 }
 
 // Config is the content of a Table. If Keys is nil, callers need no key.
@@ -135,6 +150,22 @@
 // Version returns the version of the table; a higher version is newer.
 func (t *Table) Version() int64 { return t.version }
 
+// WithEvacuatedZones returns the table with these evacuated zones in place of its own.
+func (t *Table) WithEvacuatedZones(zones []string) *Table {
+	next := *t
+	next.evacuated = make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		next.evacuated[zone] = true
+	}
+	return &next
+}
+
+// IsEvacuated reports whether the targets of a zone must get no requests.
+func (t *Table) IsEvacuated(zone string) bool { return t.evacuated[zone] }
+
+// EvacuatedZones returns the sorted zones whose targets must get no requests.
+func (t *Table) EvacuatedZones() []string { return slices.Sorted(maps.Keys(t.evacuated)) }
+
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -80,6 +80,7 @@
 	outages        outages
 	slowEngines    []string // engines that are too slow to receive requests
 	limitedEngines []string // engines that name a rate limit
+	evacuatedZones []string // zones whose engines get no requests
 
 	current     *mapswitch.Switch   // nil between two switches
 	layout      expertlayout.Layout // of the current or last switch
@@ -265,6 +266,7 @@
 	for _, named := range r.Limits {
 		l.scheduler.SetLimit(now, named.Engine, named.PerSecond)
 	}
+	l.scheduler.SetEvacuated(now, r.EvacuatedZones)
 	_, repeated := l.requesterHosts[r.ID]
 	l.requesterHosts[r.ID] = from.Name
 	decision := l.scheduler.Offer(now, rankscheduler.Request{
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -211,6 +211,10 @@
 		l.log.Info().Strs("limited", limited).Strs("before", l.limitedEngines).Msg("set of ranks with a rate limit changed")
 		l.limitedEngines = limited
 	}
+	if zones := l.scheduler.EvacuatedZones(); !slices.Equal(zones, l.evacuatedZones) {
+		l.log.Warn().Strs("zones", zones).Strs("before", l.evacuatedZones).Msg("set of evacuated zones changed; their ranks get no requests")
+		l.evacuatedZones = zones
+	}
 	if slow := l.scheduler.SlowEngines(); !slices.Equal(slow, l.slowEngines) {
 		l.log.Info().Strs("slow", slow).Strs("before", l.slowEngines).Msg("set of ranks too slow for requests changed")
 		l.slowEngines = slow
