Admit requests by priority, and bound what a group runs by its pace

The most urgent kind earned least.

Cause (trace of the leader): passes of 200 ms for about a second after each shift of the demand for experts, while the requests that run grow from 100 to 240 in a group. One line for all priorities.

The queue of a group orders by priority of the organisation, then of the route, shares slots by work among organisations, keeps a share for each priority that waits, and refuses at once what a more urgent arrival displaces. The leader bounds the requests that run so that the pass predicted from the published costs and the highest skew of the last 10 s stays within the pause that callers accept.

--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -31,7 +31,7 @@
 type TargetHeaders struct {
 	TargetID     string // ID of the target; any other target refuses the request
 	Organisation string
-	Priority     int           // 0 is the most urgent
+	Priority     routes.Priority
 	Remaining    time.Duration // time left until the request's deadline
 	LastEventID  string        // ID of the last event the relay has sent to the caller; empty at the stream's start
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -130,7 +130,7 @@
 	info          RequestInfo
 	organisation  routes.Organisation
 	route         routes.Route
-	priority      int // 0 is the most urgent
+	priority      routes.Priority
 	service       routes.Service
 	request       *http.Request
 	body          []byte
@@ -350,6 +350,7 @@
 	request := mesh.SlotRequest{
 		ID: c.info.AttemptID, Service: c.service.Name, Organisation: c.organisation.Name, Fingerprint: c.fingerprint,
 		PromptTokens: c.info.PromptTokens, Movable: rl.movable(c),
+		OutputTokens: c.info.OutputTokens, Priority: &c.priority, PauseGoalMS: int(c.route.PauseGoal.Milliseconds()), EndInMS: int(remaining.Milliseconds()),
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
 	request.Limits = rl.config.Limits.ofEngines(targets, c.service)
--- a/parts/admission/queue.go
+++ b/parts/admission/queue.go
@@ -1,13 +1,17 @@
-// Package admission decides for a target which requests run, wait or are refused in
-// front of its engine or service. Slots are shared between organisations by weight,
-// interactive requests run before batch requests, and a request that cannot start
-// before its deadline is refused immediately.
+// Package admission decides for a target, or for a group of targets, which requests run, wait or are
+// refused. When there is too little room, requests of a more urgent priority go first, and among
+// equals the slots are shared between organisations by weight. Requests of the batch class wait for
+// all others. A request that cannot start before its deadline is refused immediately, and so are
+// waiting ones that a more urgent arrival displaces.
 package admission
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/routes"
 )
 
 // Request holds the properties of a request that admission depends on.
@@ -16,12 +20,36 @@
 	Organisation string
 	Weight       float64 // share of the slots relative to other organisations; 1 if not positive
 	Class        contract.Class
+	Priority     routes.Priority
+	Work         float64   // expected work relative to that of a usual request; 1 if not positive
 	Deadline     time.Time // time before which the request must get a slot
 }
 
+// level is the place of a request in the order of admission. Lower levels go first.
+type level struct {
+	batch    bool
+	priority routes.Priority
+}
+
+func levelOf(r Request) level {
+	return level{batch: r.Class == contract.ClassBatch, priority: r.Priority}
+}
+
+// compare returns a negative number if requests of the level go before those of the other.
+func (l level) compare(other level) int {
+	if l.batch != other.batch {
+		if l.batch {
+			return 1
+		}
+		return -1
+	}
+	return l.priority.Compare(other.priority)
+}
+
 type waitingRequest struct {
 	request Request
-	// start is the virtual start time of weighted fair queueing. A request lasts 1/weight
+	level   level
+	// start is the virtual start time of weighted fair queueing. A request lasts work/weight
 	// units of virtual time.
 	start float64
 }
@@ -29,12 +57,15 @@
 // Queue admits requests up to a number of slots and queues the rest. It reads no
 // clock: callers pass the current time. It is not safe for concurrent use.
 type Queue struct {
-	capacity      int                                 // slots
-	running       int                                 // slots in use
-	waiting       map[contract.Class][]waitingRequest // by virtual start time
-	virtualFinish map[string]float64                  // last virtual finish time by organisation
+	capacity      int                // slots
+	running       int                // slots in use
+	waiting       []waitingRequest   // in the order of admission
+	virtualFinish map[string]float64 // last virtual finish time by organisation
 	virtualTime   float64
 	serviceTime   time.Duration // smoothed time that a request holds its slot
+	minimumShare  float64       // share of the starts for each level that waits
+	// passedOver counts the starts of more urgent requests since the last one of a level that waits.
+	passedOver map[level]int
 }
 
 // initialServiceTime is the service time assumed before the first measurement.
@@ -45,14 +76,13 @@
 
 // NewQueue returns an empty queue with capacity slots.
 func NewQueue(capacity int) *Queue {
-	return &Queue{
-		capacity:      capacity,
-		waiting:       map[contract.Class][]waitingRequest{},
-		virtualFinish: map[string]float64{},
-		serviceTime:   initialServiceTime,
-	}
+	return &Queue{capacity: capacity, virtualFinish: map[string]float64{}, serviceTime: initialServiceTime, passedOver: map[level]int{}}
 }
 
+// SetMinimumShare sets the share of the starts that each priority gets at least while its requests wait, so
+// that more urgent ones do not starve it. 0 is none. The batch class gets none.
+func (q *Queue) SetMinimumShare(share float64) { q.minimumShare = share }
+
 // SetCapacity changes the number of slots. Requests that already run keep their
 // slots. Waiting requests get new slots only by calls of Next.
 func (q *Queue) SetCapacity(capacity int) {
@@ -65,9 +95,7 @@
 }
 
 // Queued returns the number of waiting requests.
-func (q *Queue) Queued() int {
-	return len(q.waiting[contract.ClassInteractive]) + len(q.waiting[contract.ClassBatch])
-}
+func (q *Queue) Queued() int { return len(q.waiting) }
 
 // HasFreeSlot reports whether a new request would run immediately.
 func (q *Queue) HasFreeSlot() bool {
@@ -96,7 +124,7 @@
 		q.running++
 		return DecisionRun, time.Time{}
 	}
-	free := now.Add(q.predictedWait(r.Class))
+	free := now.Add(q.PredictedWait(r))
 	if !free.Before(r.Deadline) {
 		return DecisionRefuse, free
 	}
@@ -104,33 +132,49 @@
 	return DecisionWait, time.Time{}
 }
 
-// predictedWait estimates how long a new request of the class would wait for a slot.
-func (q *Queue) predictedWait(class contract.Class) time.Duration {
-	ahead := len(q.waiting[contract.ClassInteractive])
-	if class == contract.ClassBatch {
-		ahead = q.Queued()
+// PredictedWait estimates how long a new request would wait for a slot.
+func (q *Queue) PredictedWait(r Request) time.Duration {
+	l := levelOf(r)
+	ahead := 0
+	for ahead < len(q.waiting) && q.waiting[ahead].level.compare(l) <= 0 {
+		ahead++
 	}
-	return time.Duration(ahead+1) * q.serviceTime / time.Duration(max(q.capacity, 1))
+	return q.waitBehind(ahead)
+}
+
+// waitBehind estimates the wait of a request behind a number of waiting ones. Slots in use beyond the capacity
+// must become free first.
+func (q *Queue) waitBehind(ahead int) time.Duration {
+	awaited := max(q.running-q.capacity, 0) + ahead + 1
+	return time.Duration(awaited) * q.serviceTime / time.Duration(max(q.running, q.capacity, 1))
 }
 
-// enqueue inserts the request by its virtual start time, so that organisations get
-// slots in proportion to their weights.
+// enqueue inserts the request by its level and its virtual start time, so that
+// organisations get slots in proportion to their weights.
 func (q *Queue) enqueue(r Request) {
-	weight := r.Weight
+	weight, work := r.Weight, r.Work
 	if weight <= 0 {
 		weight = 1
 	}
+	if work <= 0 {
+		work = 1
+	}
 	start := max(q.virtualTime, q.virtualFinish[r.Organisation])
-	q.virtualFinish[r.Organisation] = start + 1/weight
-	queue := q.waiting[r.Class]
-	at := len(queue)
-	for at > 0 && queue[at-1].start > start {
+	q.virtualFinish[r.Organisation] = start + work/weight
+	w := waitingRequest{request: r, level: levelOf(r), start: start}
+	at := len(q.waiting)
+	for at > 0 && w.before(q.waiting[at-1]) {
 		at--
 	}
-	queue = append(queue, waitingRequest{})
-	copy(queue[at+1:], queue[at:])
-	queue[at] = waitingRequest{request: r, start: start}
-	q.waiting[r.Class] = queue
+	q.waiting = slices.Insert(q.waiting, at, w)
+}
+
+// before reports whether the request goes before another one that came earlier.
+func (w waitingRequest) before(other waitingRequest) bool {
+	if c := w.level.compare(other.level); c != 0 {
+		return c < 0
+	}
+	return w.start < other.start
 }
 
 // Done releases the slot of a request that held it for the elapsed time. The caller
@@ -144,63 +188,97 @@
 // nil if no slot is free or no request waits. It also removes and returns the requests
 // that it met whose deadline had passed.
 func (q *Queue) Next(now time.Time) (run *Request, expired []Request) {
-	for _, class := range []contract.Class{contract.ClassInteractive, contract.ClassBatch} {
-		for len(q.waiting[class]) > 0 && q.running < q.capacity {
-			first := q.waiting[class][0]
-			q.waiting[class] = q.waiting[class][1:]
-			q.virtualTime = max(q.virtualTime, first.start)
-			if !now.Before(first.request.Deadline) {
-				expired = append(expired, first.request)
-				continue
-			}
-			q.running++
-			return &first.request, expired
+	for len(q.waiting) > 0 && q.running < q.capacity {
+		at := q.nextIndex()
+		next := q.waiting[at]
+		q.waiting = slices.Delete(q.waiting, at, at+1)
+		q.virtualTime = max(q.virtualTime, next.start)
+		if !now.Before(next.request.Deadline) {
+			expired = append(expired, next.request)
+			continue
 		}
+		q.running++
+		q.countStart(next.level)
+		return &next.request, expired
 	}
 	q.resetVirtualTime()
 	return nil, expired
 }
 
-// Expired removes and returns the waiting requests whose deadline has passed.
-func (q *Queue) Expired(now time.Time) []Request {
-	var expired []Request
-	for class, queue := range q.waiting {
-		remaining := queue[:0]
-		for _, w := range queue {
-			if now.Before(w.request.Deadline) {
-				remaining = append(remaining, w)
-			} else {
-				expired = append(expired, w.request)
-			}
+// nextIndex returns the index of the waiting request that goes next: the first one, unless another level is
+// due by the minimum share.
+func (q *Queue) nextIndex() int {
+	if q.minimumShare <= 0 {
+		return 0
+	}
+	due := q.waiting[0].level
+	for l, n := range q.passedOver {
+		if float64(n+1)*q.minimumShare >= 1 && (n > q.passedOver[due] || (n == q.passedOver[due] && l.compare(due) < 0)) {
+			due = l
 		}
-		q.waiting[class] = remaining
 	}
-	return expired
+	return max(slices.IndexFunc(q.waiting, func(w waitingRequest) bool { return w.level == due }), 0)
 }
 
-// Remove deletes a waiting request and reports whether it was in the queue.
-func (q *Queue) Remove(id string) bool {
-	for class, queue := range q.waiting {
-		for i, w := range queue {
-			if w.request.ID == id {
-				q.waiting[class] = append(queue[:i:i], queue[i+1:]...)
-				return true
-			}
+// countStart counts the start of a request of a level for the levels behind it that wait.
+func (q *Queue) countStart(started level) {
+	waits := map[level]bool{}
+	for _, w := range q.waiting {
+		waits[w.level] = true
+	}
+	maps.DeleteFunc(q.passedOver, func(l level, _ int) bool { return l == started || !waits[l] })
+	for l := range waits {
+		if l.compare(started) > 0 && !l.batch {
+			q.passedOver[l]++
 		}
 	}
-	return false
+}
+
+// Displaced removes and returns the waiting requests that cannot start before their deadlines any more, because
+// more urgent ones have come. The first of each level stays, as the minimum share may serve it.
+func (q *Queue) Displaced(now time.Time) []Request {
+	var displaced []Request
+	var previous *level
+	ahead := 0
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waitingRequest) bool {
+		isFirst := previous == nil || *previous != w.level
+		previous = &w.level
+		if !isFirst && !now.Add(q.waitBehind(ahead)).Before(w.request.Deadline) {
+			displaced = append(displaced, w.request)
+			return true
+		}
+		ahead++
+		return false
+	})
+	return displaced
+}
+
+// Expired removes and returns the waiting requests whose deadline has passed.
+func (q *Queue) Expired(now time.Time) []Request {
+	return q.remove(func(r Request) bool { return !now.Before(r.Deadline) })
+}
+
+// Remove deletes a waiting request and reports whether it was in the queue.
+func (q *Queue) Remove(id string) bool {
+	return len(q.remove(func(r Request) bool { return r.ID == id })) > 0
 }
 
 // Flush removes and returns all waiting requests, for a target that drains.
 func (q *Queue) Flush() []Request {
-	var all []Request
-	for class, queue := range q.waiting {
-		for _, w := range queue {
-			all = append(all, w.request)
+	return q.remove(func(Request) bool { return true })
+}
+
+// remove removes and returns the waiting requests that match.
+func (q *Queue) remove(matches func(r Request) bool) []Request {
+	var removed []Request
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waitingRequest) bool {
+		if !matches(w.request) {
+			return false
 		}
-		q.waiting[class] = nil
-	}
-	return all
+		removed = append(removed, w.request)
+		return true
+	})
+	return removed
 }
 
 // resetVirtualTime clears the virtual times when no request waits.
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -108,12 +108,16 @@
 	Organisation string `json:"organisation,omitempty"`
 	// Fingerprint identifies the content of a request. It is the same when a caller
 	// repeats the request.
-	Fingerprint     uint64   `json:"fingerprint"`
-	PromptTokens    int      `json:"prompt"`            // prompt length in tokens
-	StartInMS       int      `json:"start_in_ms"`       // milliseconds from receipt; a later start misses the latency goal
-	LatestInMS      int      `json:"latest_in_ms"`      // milliseconds from receipt; a later start is useless
-	ExcludedEngines []string `json:"not,omitempty"`     // engines at which the request has failed
-	Movable         bool     `json:"movable,omitempty"` // the running request may continue at another engine
+	Fingerprint     uint64           `json:"fingerprint"`
+	PromptTokens    int              `json:"prompt"`                  // prompt length in tokens
+	OutputTokens    int              `json:"output,omitempty"`        // expected output length in tokens; 0: not known
+	Priority        *routes.Priority `json:"priority,omitempty"`      // nil: not known
+	PauseGoalMS     int              `json:"pause_goal_ms,omitempty"` // longest pause between two events that the caller accepts; 0: none
+	EndInMS         int              `json:"end_in_ms,omitempty"`     // milliseconds from receipt after which the response is of no use; 0: not known
+	StartInMS       int              `json:"start_in_ms"`             // milliseconds from receipt; a later start misses the latency goal
+	LatestInMS      int              `json:"latest_in_ms"`            // milliseconds from receipt; a later start is useless
+	ExcludedEngines []string         `json:"not,omitempty"`           // engines at which the request has failed
+	Movable         bool             `json:"movable,omitempty"`       // the running request may continue at another engine
 	// Limits holds rate limits of the service's engines that the sender knows.
 	Limits []EngineLimit `json:"limits,omitempty"`
 	// EvacuatedZones holds the zones whose engines must get no requests.
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -20,6 +20,8 @@
 
 	"camphormill.dev/parts/admission"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/pace"
+	"camphormill.dev/parts/routes"
 )
 
 const (
@@ -72,6 +74,12 @@
 	// Fingerprint is equal for all tries of the same request by its caller.
 	Fingerprint  uint64
 	PromptTokens int // length in tokens
+	OutputTokens int // expected length in tokens; 0 if not known
+	Priority     routes.Priority
+	// PauseGoal is the longest pause between two events that the caller accepts; 0 if there is none.
+	PauseGoal time.Duration
+	// EndBy is the time after which the response is of no use; zero if not known.
+	EndBy time.Time
 	// StartBy is the time by which the request needs a slot to meet its latency goal,
 	// counted from this try. For a retry, the goal counts from the first refusal; see
 	// queueRequest. WaitUntil is the time after which a slot is of no use.
@@ -118,11 +126,35 @@
 	// evacuated holds the zones whose engines must get no requests, with the time at which each is
 	// forgotten.
 	evacuated map[string]time.Time
+	// outputTokens is a moving average of the expected output lengths of requests.
+	outputTokens float64
+	engine       pace.Engine
+	pace         pace.Bound
+	bound        int // requests that may run by the pace of the group; 0 for no bound
+	displaced    []Decision
 }
 
+// DefaultPriority is the priority of requests of entries that send none.
+var DefaultPriority = routes.Priority{Route: 5}
+
+const (
+	// minimumShare is the share of the starts of each priority while its requests wait.
+	minimumShare = 0.1
+	// outputWeight is the weight of the newest request in the moving average of output lengths.
+	outputWeight = 0.02
+	// minBoundShare is the least share of the slots to which the pace bounds a group. Below it a stalled rank, not
+	// the number of requests, makes passes long.
+	minBoundShare = 0.2
+	// endMargin is the factor by which a request must be expected to outlast its caller's time to be refused for it.
+	// Expected output lengths are often far off.
+	endMargin = 2
+)
+
 // New returns a Scheduler without ranks.
 func New() *Scheduler {
-	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: admission.NewQueue(0), refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}}
+	queue := admission.NewQueue(0)
+	queue.SetMinimumShare(minimumShare)
+	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
@@ -152,9 +184,44 @@
 		// Requests that a rank ran before it became slow or was evacuated take no slots of other ranks.
 		capacity += max(slots, min(running[r.Engine], r.Slots))
 	}
+	s.setBound(now, capacity)
+	if s.bound > 0 {
+		capacity = min(capacity, s.bound)
+	}
 	s.queue.SetCapacity(capacity)
 }
 
+// SetEngine sets what decides the duration of the group's passes.
+func (s *Scheduler) SetEngine(e pace.Engine) { s.engine = e }
+
+// RecordSkew records the skew of the experts' load under the expert map in force.
+func (s *Scheduler) RecordSkew(now time.Time, skew float64) { s.pace = s.pace.WithSkew(now, skew) }
+
+// setBound sets the number of requests that may run by the pace of the group, given the slots of its ranks.
+func (s *Scheduler) setBound(now time.Time, slots int) {
+	n, bounded := s.pace.Requests(now, len(s.ranks), s.engine, s.pauseGoal())
+	n = max(n, int(math.Ceil(minBoundShare*float64(slots))))
+	if !bounded || n >= slots {
+		n = 0
+	}
+	s.bound = n
+}
+
+// pauseGoal returns the shortest pause between two events that the callers of running requests accept, 0 if none is
+// known.
+func (s *Scheduler) pauseGoal() time.Duration {
+	shortest := time.Duration(0)
+	for _, a := range s.assignments {
+		if pause := a.request.PauseGoal; pause > 0 && (shortest == 0 || pause < shortest) {
+			shortest = pause
+		}
+	}
+	return shortest
+}
+
+// RequestBound returns the number of requests that may run by the pace of the group, 0 for no bound.
+func (s *Scheduler) RequestBound() int { return s.bound }
+
 // maxSlowdown returns the slowdown up to which ranks should run requests to maximise
 // the throughput of the group, that is the slots of these ranks divided by the time of a
 // pass. The unit of that time is the time that a rank's own requests take with a slowdown
@@ -231,6 +298,9 @@
 	for _, n := range s.slots {
 		slots += n
 	}
+	if s.bound > 0 {
+		slots = min(slots, s.bound)
+	}
 	return float64(len(s.assignments)+len(s.waiting)) / float64(max(slots, 1))
 }
 
@@ -249,17 +319,57 @@
 	if wait := s.limitsAllowIn(now); wait > 0 {
 		return s.refuse(now, r, now.Add(wait))
 	}
-	decision, freeAt := s.queue.Offer(now, s.queueRequest(now, r))
+	queued := s.queueRequest(now, r)
+	if s.outlastsCaller(now, r, queued.Work) {
+		return s.refuse(now, r, now)
+	}
+	decision, freeAt := s.queue.Offer(now, queued)
 	switch decision {
 	case admission.DecisionRun:
 		return s.assign(now, r)
 	case admission.DecisionWait:
 		s.waiting[r.ID] = r
+		s.displace(now)
 		return Decision{ID: r.ID, Queued: true}
 	}
 	return s.refuse(now, r, freeAt)
 }
 
+// displace refuses the waiting requests that a more urgent one has left without a slot in time.
+func (s *Scheduler) displace(now time.Time) {
+	for _, d := range s.queue.Displaced(now) {
+		r := s.waiting[d.ID]
+		delete(s.waiting, d.ID)
+		s.displaced = append(s.displaced, s.refuse(now, r, now))
+	}
+}
+
+// TakeDisplaced returns the refusals of waiting requests that offers since the last call have displaced.
+func (s *Scheduler) TakeDisplaced() []Decision {
+	displaced := s.displaced
+	s.displaced = nil
+	return displaced
+}
+
+// outlastsCaller reports whether a request is expected to run much longer than its caller waits.
+func (s *Scheduler) outlastsCaller(now time.Time, r Request, work float64) bool {
+	expected := time.Duration(work * float64(s.queue.ServiceTime()))
+	return !r.EndBy.IsZero() && expected > endMargin*r.EndBy.Sub(now)
+}
+
+// workOf returns the expected work of a request relative to that of a usual one, by the length of its output, which
+// decides how long it holds its slot.
+func (s *Scheduler) workOf(r Request) float64 {
+	if r.OutputTokens <= 0 {
+		return 1
+	}
+	if s.outputTokens == 0 {
+		s.outputTokens = float64(r.OutputTokens)
+	}
+	s.outputTokens += outputWeight * (float64(r.OutputTokens) - s.outputTokens)
+	return float64(r.OutputTokens) / s.outputTokens
+}
+
 // refuse refuses a request and retains the time of its first refusal, from which the
 // latency goal counts when the request is retried. freeAt is the time at which a slot is
 // expected to be free, or now if that is not known.
@@ -296,7 +406,9 @@
 // wait until WaitUntil. StartBy counts from this try, but the goal from the first refusal,
 // so the goal is missed if more time has passed since that refusal than is left to StartBy.
 func (s *Scheduler) queueRequest(now time.Time, r Request) admission.Request {
-	queued := admission.Request{ID: r.ID, Organisation: r.Organisation, Class: contract.ClassInteractive, Deadline: r.StartBy}
+	queued := admission.Request{
+		ID: r.ID, Organisation: r.Organisation, Class: contract.ClassInteractive, Priority: r.Priority, Work: s.workOf(r), Deadline: r.StartBy,
+	}
 	if first, ok := s.refused[r.Fingerprint]; ok && now.Sub(first) > r.StartBy.Sub(now) {
 		queued.Class, queued.Deadline = contract.ClassBatch, r.WaitUntil
 	}
--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -5,6 +5,7 @@
 package routes
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -77,6 +78,11 @@
 	SpareExpertSlots      int     `json:"spare"`   // maximum number of experts that a rank can fetch at once in each set
 	IdlePassMS            float64 `json:"pass_ms"` // duration of a pass without requests, in milliseconds
 	PromptTokensPerSecond float64 `json:"read_ps"` // prompt tokens that a rank processes per second
+	// RequestPassMS is what each request on a rank adds to a pass while the experts' load is even, in
+	// milliseconds; 0 if not known. ExpertShare is the share of it that the experts take.
+	RequestPassMS     float64 `json:"request_ms,omitempty"`
+	ExpertShare       float64 `json:"expert_share,omitempty"`
+	UsualPromptTokens float64 `json:"usual_prompt,omitempty"` // mean length of a prompt in tokens
 }
 
 // Service is one set of interchangeable targets.
@@ -89,18 +95,27 @@
 	ColdPerSecond float64
 }
 
-// Organisation is an owner of API keys. Its priority goes before that of the route.
+// Organisation is an owner of API keys, with the priority of its requests.
 type Organisation struct {
 	Name     string
-	Priority *int // 0 is the highest; nil: the priority of the route holds
+	Priority int // 0 is the highest
 }
 
-// PriorityOf returns the priority of the organisation's requests on a route; 0 is the highest.
-func (o Organisation) PriorityOf(r Route) int {
-	if o.Priority != nil {
-		return *o.Priority
-	}
-	return r.Priority
+// Priority is the priority of a request: that of its organisation, and among equal ones that of its route.
+// 0 is the highest of each.
+type Priority struct {
+	Organisation int `json:"organisation,omitempty"`
+	Route        int `json:"route,omitempty"`
+}
+
+// PriorityOf returns the priority of the organisation's requests on a route.
+func (o Organisation) PriorityOf(r Route) Priority {
+	return Priority{Organisation: o.Priority, Route: r.Priority}
+}
+
+// Compare returns a negative number if requests of the priority go before those of the other.
+func (p Priority) Compare(other Priority) int {
+	return cmp.Or(cmp.Compare(p.Organisation, other.Organisation), cmp.Compare(p.Route, other.Route))
 }
 
 // Limits bounds what a caller may send.
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -80,6 +80,7 @@
 	outages        outages
 	slowEngines    []string // engines that are too slow to receive requests
 	limitedEngines []string // engines that name a rate limit
+	requestBound   int      // requests that may run by the pace of the group; 0: no bound
 	evacuatedZones []string // zones whose engines get no requests
 
 	current     *mapswitch.Switch   // nil between two switches
@@ -100,6 +101,7 @@
 	rolledBack    int // switches that were rolled back one after the other
 	startedAt     time.Time
 	passDurations passDurations
+	skew          float64              // of the experts' load under the map in force, as last known; mean over the sets
 	directReadAt  map[string]time.Time // start of the last direct read, by host name
 	otherGroup    map[string]bool      // hosts whose engines belonged to another group at the last direct read, by name
 }
@@ -269,11 +271,8 @@
 	l.scheduler.SetEvacuated(now, r.EvacuatedZones)
 	_, repeated := l.requesterHosts[r.ID]
 	l.requesterHosts[r.ID] = from.Name
-	decision := l.scheduler.Offer(now, rankscheduler.Request{
-		ID: r.ID, Organisation: r.Organisation, Zone: from.Zone, Fingerprint: r.Fingerprint, PromptTokens: r.PromptTokens, Exclude: r.ExcludedEngines, Movable: r.Movable,
-		StartBy:   now.Add(time.Duration(r.StartInMS) * time.Millisecond),
-		WaitUntil: now.Add(time.Duration(r.LatestInMS) * time.Millisecond),
-	})
+	decision := l.scheduler.Offer(now, newRequest(now, from, r))
+	l.sendDecisions(l.scheduler.TakeDisplaced())
 	if repeated && decision.Queued {
 		// The host repeats its request for a slot in case the first reply was lost. The first
 		// decision has been logged already.
@@ -283,6 +282,23 @@
 	l.sendDecisions([]rankscheduler.Decision{decision})
 }
 
+// newRequest returns the scheduler's request of a slot request that has just arrived.
+func newRequest(now time.Time, from mesh.Host, r mesh.SlotRequest) rankscheduler.Request {
+	in := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	request := rankscheduler.Request{
+		ID: r.ID, Organisation: r.Organisation, Zone: from.Zone, Fingerprint: r.Fingerprint, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		Exclude: r.ExcludedEngines, Movable: r.Movable, PauseGoal: time.Duration(r.PauseGoalMS) * time.Millisecond, Priority: rankscheduler.DefaultPriority,
+		StartBy: in(r.StartInMS), WaitUntil: in(r.LatestInMS),
+	}
+	if r.Priority != nil {
+		request.Priority = *r.Priority
+	}
+	if r.EndInMS > 0 {
+		request.EndBy = in(r.EndInMS)
+	}
+	return request
+}
+
 // releaseRequest frees the slot of a request that has ended or no longer waits.
 func (l *leader) releaseRequest(r mesh.SlotRelease) {
 	l.mu.Lock()
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/pace"
 	"camphormill.dev/parts/rankscheduler"
+	"camphormill.dev/parts/routes"
 )
 
 // rankReport is the latest report of a rank, as the leader keeps it.
@@ -206,7 +208,13 @@
 	if !open {
 		usable = nil
 	}
+	l.updatePace(now)
 	l.scheduler.SetRanks(now, usable)
+	if bound := l.scheduler.RequestBound(); bound != l.requestBound {
+		l.log.Info().Int("bound", bound).Int("before", l.requestBound).Int("running", l.scheduler.Running()).Int("waiting", l.scheduler.Waiting()).
+			Float64("skew", l.skew).Dur("pass", l.passDurations.mean).Msg("bound of running requests by the pace of the group changed")
+		l.requestBound = bound
+	}
 	if limited := l.scheduler.LimitedEngines(); !slices.Equal(limited, l.limitedEngines) {
 		l.log.Info().Strs("limited", limited).Strs("before", l.limitedEngines).Msg("set of ranks with a rate limit changed")
 		l.limitedEngines = limited
@@ -222,6 +230,33 @@
 	}
 }
 
+// updatePace tells the scheduler what decides the duration of passes: the published costs, and the skew of the
+// experts' load under the map in force.
+func (l *leader) updatePace(now time.Time) {
+	if l.settings.RequestPassMS <= 0 {
+		return
+	}
+	l.scheduler.SetEngine(newPaceEngine(l.settings))
+	shares := l.demand.Shares()
+	if shares == nil || !l.open {
+		return
+	}
+	if current, ok := l.currentLayouts(); ok {
+		l.skew = l.meanSkew(current, shares, l.rankSpeeds())
+		l.scheduler.RecordSkew(now, l.skew)
+	}
+}
+
+// newPaceEngine returns the costs of a pass from the published parameters of an engine.
+func newPaceEngine(e routes.Engine) pace.Engine {
+	milliseconds := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+	engine := pace.Engine{Idle: milliseconds(e.IdlePassMS), PerRequest: milliseconds(e.RequestPassMS), ExpertShare: e.ExpertShare}
+	if e.PromptTokensPerSecond > 0 {
+		engine.Prompt = time.Duration(e.UsualPromptTokens / e.PromptTokensPerSecond * float64(time.Second))
+	}
+	return engine
+}
+
 // updateDiscovered sets discovered when there are fresh reports of nearly all ranks, or the time for that is
 // over. The daemon of the last leader may be gone, and a few reports lost. The next announcement then goes
 // to all daemons at once.
--- a/targetd/rankagent/switching.go
+++ b/targetd/rankagent/switching.go
@@ -92,10 +92,9 @@
 	if l.passDurations.mean > longPassThreshold || len(l.ranks) > largeGroupSize {
 		skewTarget = min(skewTarget, tightSkewTarget)
 	}
-	speeds := make([]float64, len(l.ranks))
+	speeds := l.rankSpeeds()
 	version := mapswitch.Version(0)
-	for i, r := range l.ranks {
-		speeds[i] = relativeSpeed(r.rank.Slowdown, slices.Contains(l.slowEngines, r.rank.Engine))
+	for _, r := range l.ranks {
 		version = max(version, r.rank.View.Map, r.rank.View.Prepared, r.rank.View.Armed)
 	}
 	planStart := time.Now() // real time, for the log only
@@ -162,6 +161,24 @@
 	return plan
 }
 
+// meanSkew returns the skew of a layout, the mean over the sets.
+func (l *leader) meanSkew(layouts []placement.Layout, shares [][]float64, speeds []float64) float64 {
+	sum := 0.0
+	for s, layout := range layouts {
+		sum += placement.Problem{Loads: shares[s], Speeds: speeds, ExpertSlots: l.settings.ExpertSlots, Ranks: len(l.ranks)}.Skew(layout)
+	}
+	return sum / float64(max(len(layouts), 1))
+}
+
+// rankSpeeds returns the relative speeds of the ranks.
+func (l *leader) rankSpeeds() []float64 {
+	speeds := make([]float64, len(l.ranks))
+	for i, r := range l.ranks {
+		speeds[i] = relativeSpeed(r.rank.Slowdown, slices.Contains(l.slowEngines, r.rank.Engine))
+	}
+	return speeds
+}
+
 // relativeSpeed returns the share of expert work for a rank, relative to a rank of normal
 // speed. slow means that the rank is too slow for requests. Such a rank gets less expert work
 // than it could do: an expert that it still holds may become popular, and all ranks would wait
