--- a/parts/pace/pace.go
+++ b/parts/pace/pace.go
@@ -40,24 +40,29 @@
 	return time.Duration(float64(e.PerRequest) * (1 - e.ExpertShare + e.ExpertShare*skew))
 }
 
-// Bound remembers the highest skew of the last ten seconds. It is immutable; the zero Bound knows none.
+// Bound remembers the highest skew that demand has caused in the last ten seconds. It is immutable; the zero Bound
+// knows none.
 type Bound struct {
+	current float64 // skew with the speeds of the ranks as they are now
 	// highest holds the highest skew of the last intervals; the interval that began last is the first.
 	highest [intervals]float64
 	begun   time.Time // of the first interval
 }
 
-// WithSkew returns the bound after the skew of the experts' load was measured.
-func (b Bound) WithSkew(now time.Time, skew float64) Bound {
+// WithSkew returns the bound after the skew of the experts' load was measured: as it would be if all ranks were equally
+// fast, which is remembered, and with their speeds. A rank that recovers, or that has given up its experts, bounds the
+// group no longer.
+func (b Bound) WithSkew(now time.Time, ofDemand, withSpeeds float64) Bound {
 	b = b.advanced(now)
-	b.highest[0] = max(b.highest[0], skew)
+	b.highest[0] = max(b.highest[0], ofDemand)
+	b.current = withSpeeds
 	return b
 }
 
 // advanced returns the bound at a time, without the intervals that are too old.
 func (b Bound) advanced(now time.Time) Bound {
 	if b.begun.IsZero() || now.Sub(b.begun) >= intervals*intervalLength {
-		return Bound{begun: now}
+		return Bound{begun: now, current: b.current}
 	}
 	for now.Sub(b.begun) >= intervalLength {
 		copy(b.highest[1:], b.highest[:])
@@ -67,9 +72,9 @@
 	return b
 }
 
-// Skew returns the highest skew that is remembered, 0 if none is.
+// Skew returns the skew to expect: the highest that is remembered, or the current one. It is 0 if none is known.
 func (b Bound) Skew(now time.Time) float64 {
-	highest := 0.0
+	highest := b.current
 	for _, skew := range b.advanced(now).highest {
 		highest = max(highest, skew)
 	}
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -194,8 +194,10 @@
 // SetEngine sets what decides the duration of the group's passes.
 func (s *Scheduler) SetEngine(e pace.Engine) { s.engine = e }
 
-// RecordSkew records the skew of the experts' load under the expert map in force.
-func (s *Scheduler) RecordSkew(now time.Time, skew float64) { s.pace = s.pace.WithSkew(now, skew) }
+// RecordSkew records the skew of the experts' load under the expert map in force; see pace.Bound.WithSkew.
+func (s *Scheduler) RecordSkew(now time.Time, ofDemand, withSpeeds float64) {
+	s.pace = s.pace.WithSkew(now, ofDemand, withSpeeds)
+}
 
 // setBound sets the number of requests that may run by the pace of the group, given the slots of its ranks.
 func (s *Scheduler) setBound(now time.Time, slots int) {
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -242,8 +242,8 @@
 		return
 	}
 	if current, ok := l.currentLayouts(); ok {
-		l.skew = l.meanSkew(current, shares, l.rankSpeeds())
-		l.scheduler.RecordSkew(now, l.skew)
+		l.skew = l.meanSkew(current, shares, l.measuredSpeeds())
+		l.scheduler.RecordSkew(now, l.meanSkew(current, shares, nil), l.skew)
 	}
 }
 
--- a/targetd/rankagent/switching.go
+++ b/targetd/rankagent/switching.go
@@ -161,16 +161,33 @@
 	return plan
 }
 
-// meanSkew returns the skew of a layout, the mean over the sets.
+// meanSkew returns the step time of the slowest rank under a layout, relative to that of ranks that are equally fast and
+// have equal loads; the mean over the sets. Without speeds all ranks are taken to be equally fast.
 func (l *leader) meanSkew(layouts []placement.Layout, shares [][]float64, speeds []float64) float64 {
+	totalSpeed := 0.0
+	for _, speed := range speeds {
+		totalSpeed += speed
+	}
+	if speeds == nil {
+		totalSpeed = float64(len(l.ranks))
+	}
 	sum := 0.0
 	for s, layout := range layouts {
 		sum += placement.Problem{Loads: shares[s], Speeds: speeds, ExpertSlots: l.settings.ExpertSlots, Ranks: len(l.ranks)}.Skew(layout)
 	}
-	return sum / float64(max(len(layouts), 1))
+	return sum / float64(max(len(layouts), 1)) * float64(len(l.ranks)) / totalSpeed
+}
+
+// measuredSpeeds returns the speeds of the ranks relative to healthy ones, as they report them.
+func (l *leader) measuredSpeeds() []float64 {
+	speeds := make([]float64, len(l.ranks))
+	for i, r := range l.ranks {
+		speeds[i] = 1 / max(r.rank.Slowdown, 1)
+	}
+	return speeds
 }
 
-// rankSpeeds returns the relative speeds of the ranks.
+// rankSpeeds returns the speeds by which experts are placed; see relativeSpeed.
 func (l *leader) rankSpeeds() []float64 {
 	speeds := make([]float64, len(l.ranks))
 	for i, r := range l.ranks {
