Spread the return of refused requests, and give all passed-over priorities one minimum share

Seen: with six priorities waiting (two of organisations, three of routes) a tenth of the starts for each left the most urgent ones half of them, and requests refused in an overload came back after 0.5 s, into the same overload. Now one start in ten goes to the priority that was passed over most, and refused requests of a priority return one after the other, at a rate that leaves most slots to new ones, at most 2.5 s later.

--- a/parts/admission/queue.go
+++ b/parts/admission/queue.go
@@ -63,7 +63,8 @@
 	virtualFinish map[string]float64 // last virtual finish time by organisation
 	virtualTime   float64
 	serviceTime   time.Duration // smoothed time that a request holds its slot
-	minimumShare  float64       // share of the starts for each level that waits
+	minimumShare  float64       // share of the starts for levels that are passed over
+	sinceShare    int           // starts since the last one by the minimum share
 	// passedOver counts the starts of more urgent requests since the last one of a level that waits.
 	passedOver map[level]int
 }
@@ -79,7 +80,7 @@
 	return &Queue{capacity: capacity, virtualFinish: map[string]float64{}, serviceTime: initialServiceTime, passedOver: map[level]int{}}
 }
 
-// SetMinimumShare sets the share of the starts that each priority gets at least while its requests wait, so
+// SetMinimumShare sets the share of the starts that goes to the priority that was passed over most, so
 // that more urgent ones do not starve it. 0 is none. The batch class gets none.
 func (q *Queue) SetMinimumShare(share float64) { q.minimumShare = share }
 
@@ -211,9 +212,12 @@
 	if q.minimumShare <= 0 {
 		return 0
 	}
+	if float64(q.sinceShare+1)*q.minimumShare < 1 {
+		return 0
+	}
 	due := q.waiting[0].level
 	for l, n := range q.passedOver {
-		if float64(n+1)*q.minimumShare >= 1 && (n > q.passedOver[due] || (n == q.passedOver[due] && l.compare(due) < 0)) {
+		if n > q.passedOver[due] || (n == q.passedOver[due] && l.compare(due) < 0) {
 			due = l
 		}
 	}
@@ -227,9 +231,13 @@
 		waits[w.level] = true
 	}
 	maps.DeleteFunc(q.passedOver, func(l level, _ int) bool { return l == started || !waits[l] })
+	q.sinceShare++
 	for l := range waits {
-		if l.compare(started) > 0 && !l.batch {
+		switch c := l.compare(started); {
+		case c > 0 && !l.batch:
 			q.passedOver[l]++
+		case c < 0:
+			q.sinceShare = 0 // a less urgent request has started by the minimum share
 		}
 	}
 }
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -55,6 +55,11 @@
 	// minRetryAfter is the shortest retry-after of a refused request, about the
 	// duration of one stream.
 	minRetryAfter = 500 * time.Millisecond
+	// maxRetryAfter is the longest retry-after of a request that was refused for want of room. Callers of
+	// streams give up after some seconds.
+	maxRetryAfter = 2500 * time.Millisecond
+	// returnShare is the share of the starts that the returning requests of one priority may need.
+	returnShare = 0.2
 )
 
 // Rank is the known state of one rank.
@@ -130,7 +135,8 @@
 	outputTokens float64
 	engine       pace.Engine
 	pace         pace.Bound
-	bound        int // requests that may run by the pace of the group; 0 for no bound
+	nextReturn   map[routes.Priority]time.Time // when the next refused request of a priority should come back
+	bound        int                           // requests that may run by the pace of the group; 0 for no bound
 	displaced    []Decision
 }
 
@@ -154,7 +160,7 @@
 func New() *Scheduler {
 	queue := admission.NewQueue(0)
 	queue.SetMinimumShare(minimumShare)
-	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}}
+	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}, nextReturn: map[routes.Priority]time.Time{}}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
@@ -384,7 +390,22 @@
 			s.refused[r.Fingerprint] = now
 		}
 	}
-	return Decision{ID: r.ID, RetryAt: later(freeAt, now.Add(minRetryAfter))}
+	return Decision{ID: r.ID, RetryAt: s.returnAt(now, r, later(freeAt, now.Add(minRetryAfter)))}
+}
+
+// returnAt returns when a refused request should come back, not before the given time. Requests of one priority return
+// one after the other, at a rate that leaves most of the slots to new ones.
+func (s *Scheduler) returnAt(now time.Time, r Request, earliest time.Time) time.Time {
+	if len(s.assignments) == 0 {
+		return earliest // nothing runs, so the rate of starts is not known
+	}
+	at := later(s.nextReturn[r.Priority], earliest)
+	if latest := later(now.Add(maxRetryAfter), earliest); at.After(latest) {
+		return latest
+	}
+	spacing := s.queue.ServiceTime().Seconds() / (returnShare * float64(len(s.assignments)))
+	s.nextReturn[r.Priority] = at.Add(time.Duration(spacing * float64(time.Second)))
+	return at
 }
 
 // evictRefused deletes the retained refusals that are older than maxSlotHold.
