Settings for the order of admission; predict waits by the pace; count times over all groups

An entry that asked the leader of another group after a refusal sent the times of its first request, so that a request waited up to three times as long as its goal allows. Waits were predicted by the time that slots were held lately, while after a shift slots become free at a third of that rate. What gives way is now in the settings ("admission"); without the section all requests wait in one line, as before.

--- a/entryd/relay/slots.go
+++ b/entryd/relay/slots.go
@@ -276,17 +276,29 @@
 		return noGrant
 	}
 	grant := noGrant
+	askedAt := c.config.Now()
 	for _, leader := range leaders {
 		if !leader.open {
 			break
 		}
-		if grant = c.requestSlotOf(ctx, leader, request); !grant.refused {
+		if grant = c.requestSlotOf(ctx, leader, withElapsed(request, c.config.Now().Sub(askedAt))); !grant.refused {
 			break
 		}
 	}
 	return grant
 }
 
+// withElapsed returns the slot request after a time in which another leader has not granted it. Its times count
+// from receipt.
+func withElapsed(r mesh.SlotRequest, elapsed time.Duration) mesh.SlotRequest {
+	ms := int(elapsed.Milliseconds())
+	r.StartInMS, r.LatestInMS = max(r.StartInMS-ms, 0), max(r.LatestInMS-ms, 0)
+	if r.EndInMS > 0 {
+		r.EndInMS = max(r.EndInMS-ms, 1)
+	}
+	return r
+}
+
 // requestSlotOf asks the leader of one group for a slot. It extends the ID of the request, so that
 // each slot request of a call has its own.
 func (c *SlotClient) requestSlotOf(ctx context.Context, leader groupLeader, request mesh.SlotRequest) slotGrant {
--- a/parts/admission/queue.go
+++ b/parts/admission/queue.go
@@ -65,6 +65,7 @@
 	serviceTime   time.Duration // smoothed time that a request holds its slot
 	minimumShare  float64       // share of the starts for levels that are passed over
 	sinceShare    int           // starts since the last one by the minimum share
+	slowdown      float64       // by which slots become free later than usual; 1 if they don't
 	// passedOver counts the starts of more urgent requests since the last one of a level that waits.
 	passedOver map[level]int
 }
@@ -77,13 +78,17 @@
 
 // NewQueue returns an empty queue with capacity slots.
 func NewQueue(capacity int) *Queue {
-	return &Queue{capacity: capacity, virtualFinish: map[string]float64{}, serviceTime: initialServiceTime, passedOver: map[level]int{}}
+	return &Queue{capacity: capacity, virtualFinish: map[string]float64{}, serviceTime: initialServiceTime, slowdown: 1, passedOver: map[level]int{}}
 }
 
 // SetMinimumShare sets the share of the starts that goes to the priority that was passed over most, so
 // that more urgent ones do not starve it. 0 is none. The batch class gets none.
 func (q *Queue) SetMinimumShare(share float64) { q.minimumShare = share }
 
+// SetSlowdown sets the factor by which requests take longer now than those that have ended lately, so that waits are
+// predicted in time when slots begin to become free more slowly.
+func (q *Queue) SetSlowdown(factor float64) { q.slowdown = factor }
+
 // SetCapacity changes the number of slots. Requests that already run keep their
 // slots. Waiting requests get new slots only by calls of Next.
 func (q *Queue) SetCapacity(capacity int) {
@@ -147,7 +152,8 @@
 // must become free first.
 func (q *Queue) waitBehind(ahead int) time.Duration {
 	awaited := max(q.running-q.capacity, 0) + ahead + 1
-	return time.Duration(awaited) * q.serviceTime / time.Duration(max(q.running, q.capacity, 1))
+	interval := q.slowdown * float64(q.serviceTime) / float64(max(q.running, q.capacity, 1))
+	return time.Duration(float64(awaited) * interval)
 }
 
 // enqueue inserts the request by its level and its virtual start time, so that
--- a/parts/pace/pace.go
+++ b/parts/pace/pace.go
@@ -72,6 +72,9 @@
 	return b
 }
 
+// Current returns the skew as last measured, 0 if none was.
+func (b Bound) Current() float64 { return b.current }
+
 // Skew returns the skew to expect: the highest that is remembered, or the current one. It is 0 if none is known.
 func (b Bound) Skew(now time.Time) float64 {
 	highest := b.current
--- a/parts/rankscheduler/limits_test.go
+++ b/parts/rankscheduler/limits_test.go
@@ -44,7 +44,7 @@
 // at once, with the time at which one does.
 func TestRequestIsRefusedWhenAllRanksAreAtTheirLimit(t *testing.T) {
 	is := is.New(t)
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	now := time.Unix(0, 0)
 	s.SetRanks(now, []rankscheduler.Rank{{Engine: "e0", Slots: slots, Slowdown: 1}})
 	s.SetLimit(now, "e0", 0.5)
@@ -64,7 +64,7 @@
 // nowhere else or that move, and against a capacity that still counts them.
 func TestEvacuatedRanksGetNoRequests(t *testing.T) {
 	is := is.New(t)
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	now := time.Unix(0, 0)
 	ranks := []rankscheduler.Rank{{Engine: "e0", Zone: "a", Slots: 2, Slowdown: 1}, {Engine: "e1", Zone: "b", Slots: 2, Slowdown: 1}}
 	s.SetRanks(now, ranks)
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -117,6 +117,7 @@
 // Scheduler admits requests and assigns them to ranks. It is not safe for concurrent
 // use. It reads no clock: the current time is an argument.
 type Scheduler struct {
+	config      Config
 	ranks       map[string]Rank
 	assignments map[string]assignment
 	waiting     map[string]Request
@@ -134,6 +135,7 @@
 	// outputTokens is a moving average of the expected output lengths of requests.
 	outputTokens float64
 	engine       pace.Engine
+	usualPass    float64 // moving average of the expected duration of a pass, in nanoseconds
 	pace         pace.Bound
 	nextReturn   map[routes.Priority]time.Time // when the next refused request of a priority should come back
 	bound        int                           // requests that may run by the pace of the group; 0 for no bound
@@ -144,23 +146,34 @@
 var DefaultPriority = routes.Priority{Route: 5}
 
 const (
-	// minimumShare is the share of the starts of each priority while its requests wait.
-	minimumShare = 0.1
 	// outputWeight is the weight of the newest request in the moving average of output lengths.
 	outputWeight = 0.02
 	// minBoundShare is the least share of the slots to which the pace bounds a group. Below it a stalled rank, not
 	// the number of requests, makes passes long.
 	minBoundShare = 0.2
+	// usualPassWeight is the weight of the newest expected duration of a pass, ten times a second, in the moving
+	// average. Slots are held for one to two seconds.
+	usualPassWeight = 0.06
 	// endMargin is the factor by which a request must be expected to outlast its caller's time to be refused for it.
 	// Expected output lengths are often far off.
 	endMargin = 2
 )
 
+// Config says what gives way when there is too little room. With the zero Config all requests wait in one line, and
+// ranks run as many as they have slots.
+type Config struct {
+	// ByPriority admits more urgent requests first, bounds the requests that run by the pace of the group, and
+	// spreads the return of refused ones.
+	ByPriority bool
+	// MinimumShare is the share of the starts that goes to the priority that was passed over most.
+	MinimumShare float64
+}
+
 // New returns a Scheduler without ranks.
-func New() *Scheduler {
+func New(c Config) *Scheduler {
 	queue := admission.NewQueue(0)
-	queue.SetMinimumShare(minimumShare)
-	return &Scheduler{ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}, nextReturn: map[routes.Priority]time.Time{}}
+	queue.SetMinimumShare(c.MinimumShare)
+	return &Scheduler{config: c, ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}, nextReturn: map[routes.Priority]time.Time{}}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
@@ -207,14 +220,28 @@
 
 // setBound sets the number of requests that may run by the pace of the group, given the slots of its ranks.
 func (s *Scheduler) setBound(now time.Time, slots int) {
+	s.updateSlowdown()
 	n, bounded := s.pace.Requests(now, len(s.ranks), s.engine, s.pauseGoal())
 	n = max(n, int(math.Ceil(minBoundShare*float64(slots))))
-	if !bounded || n >= slots {
+	if !s.config.ByPriority || !bounded || n >= slots {
 		n = 0
 	}
 	s.bound = n
 }
 
+// updateSlowdown tells the queue how much longer passes are expected to take now than they did lately.
+func (s *Scheduler) updateSlowdown() {
+	if !s.config.ByPriority || s.engine.PerRequest <= 0 || len(s.ranks) == 0 {
+		return
+	}
+	pass := float64(s.engine.Pass(float64(len(s.assignments))/float64(len(s.ranks)), max(s.pace.Current(), 1)))
+	if s.usualPass == 0 {
+		s.usualPass = pass
+	}
+	s.usualPass += usualPassWeight * (pass - s.usualPass)
+	s.queue.SetSlowdown(max(pass/s.usualPass, 1))
+}
+
 // pauseGoal returns the shortest pause between two events that the callers of running requests accept, 0 if none is
 // known.
 func (s *Scheduler) pauseGoal() time.Duration {
@@ -328,7 +355,7 @@
 		return s.refuse(now, r, now.Add(wait))
 	}
 	queued := s.queueRequest(now, r)
-	if s.outlastsCaller(now, r, queued.Work) {
+	if s.config.ByPriority && s.outlastsCaller(now, r, queued.Work) {
 		return s.refuse(now, r, now)
 	}
 	decision, freeAt := s.queue.Offer(now, queued)
@@ -345,6 +372,9 @@
 
 // displace refuses the waiting requests that a more urgent one has left without a slot in time.
 func (s *Scheduler) displace(now time.Time) {
+	if !s.config.ByPriority {
+		return
+	}
 	for _, d := range s.queue.Displaced(now) {
 		r := s.waiting[d.ID]
 		delete(s.waiting, d.ID)
@@ -396,8 +426,8 @@
 // returnAt returns when a refused request should come back, not before the given time. Requests of one priority return
 // one after the other, at a rate that leaves most of the slots to new ones.
 func (s *Scheduler) returnAt(now time.Time, r Request, earliest time.Time) time.Time {
-	if len(s.assignments) == 0 {
-		return earliest // nothing runs, so the rate of starts is not known
+	if !s.config.ByPriority || len(s.assignments) == 0 {
+		return earliest // if nothing runs, the rate of starts is not known
 	}
 	at := later(s.nextReturn[r.Priority], earliest)
 	if latest := later(now.Add(maxRetryAfter), earliest); at.After(latest) {
@@ -430,7 +460,10 @@
 // so the goal is missed if more time has passed since that refusal than is left to StartBy.
 func (s *Scheduler) queueRequest(now time.Time, r Request) admission.Request {
 	queued := admission.Request{
-		ID: r.ID, Organisation: r.Organisation, Class: contract.ClassInteractive, Priority: r.Priority, Work: s.workOf(r), Deadline: r.StartBy,
+		ID: r.ID, Organisation: r.Organisation, Class: contract.ClassInteractive, Work: 1, Deadline: r.StartBy,
+	}
+	if s.config.ByPriority {
+		queued.Priority, queued.Work = r.Priority, s.workOf(r)
 	}
 	if first, ok := s.refused[r.Fingerprint]; ok && now.Sub(first) > r.StartBy.Sub(now) {
 		queued.Class, queued.Deadline = contract.ClassBatch, r.WaitUntil
--- a/parts/rankscheduler/rankscheduler_test.go
+++ b/parts/rankscheduler/rankscheduler_test.go
@@ -21,7 +21,7 @@
 )
 
 func newScheduler() *rankscheduler.Scheduler {
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	var ranks []rankscheduler.Rank
 	for i := range 12 {
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
@@ -102,7 +102,7 @@
 // one, because all ranks would wait for it.
 func TestSlowRankGetsNoRequests(t *testing.T) {
 	is := is.New(t)
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	var ranks []rankscheduler.Rank
 	for i := range 4 {
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
@@ -128,7 +128,7 @@
 // the slow rank gets no new requests.
 func TestRequestsMoveOffSlowRank(t *testing.T) {
 	is := is.New(t)
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	var ranks []rankscheduler.Rank
 	for i := range 4 {
 		ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: 1})
@@ -178,7 +178,7 @@
 func TestRankIsSlowIfItLowersThroughput(t *testing.T) {
 	is := is.New(t)
 	slowRanks := func(rankSlowdowns ...float64) int {
-		s := rankscheduler.New()
+		s := rankscheduler.New(rankscheduler.Config{})
 		var ranks []rankscheduler.Rank
 		for i, slowdown := range rankSlowdowns {
 			ranks = append(ranks, rankscheduler.Rank{Engine: fmt.Sprint("e", i), Slots: slots, Slowdown: slowdown})
@@ -204,7 +204,7 @@
 // other zones must take the rest.
 func TestRequestsStayInTheirZone(t *testing.T) {
 	is := is.New(t)
-	s := rankscheduler.New()
+	s := rankscheduler.New(rankscheduler.Config{})
 	var ranks []rankscheduler.Rank
 	zoneOf := map[string]string{}
 	for i := range 12 {
--- a/targetd/rankagent/agent.go
+++ b/targetd/rankagent/agent.go
@@ -12,6 +12,7 @@
 
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/mesh"
+	"camphormill.dev/parts/rankscheduler"
 	"camphormill.dev/parts/routes"
 )
 
@@ -52,6 +53,8 @@
 	// the ranks; 1 is even) at which a layout needs no further replicas of experts. Below it,
 	// copying weights costs more than it gains.
 	SkewTarget float64
+	// Admission says what gives way when the group has too little room.
+	Admission rankscheduler.Config
 	// LinkBytesPerSecond is the bandwidth of this host's link; 0 if it is not known. The links of the
 	// group's other hosts should have about the same.
 	LinkBytesPerSecond float64
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -108,7 +108,7 @@
 
 func newLeader(c Config, group string, rank int, fence mapswitch.Fence, settings routes.Engine, layouts *layoutStore) *leader {
 	return &leader{
-		config: c, group: group, ownRank: rank, settings: settings, knownLayouts: layouts, orderLink: linkShare{bytesPerSecond: orderLinkShare * c.LinkBytesPerSecond}, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(),
+		config: c, group: group, ownRank: rank, settings: settings, knownLayouts: layouts, orderLink: linkShare{bytesPerSecond: orderLinkShare * c.LinkBytesPerSecond}, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(c.Admission),
 		requesterHosts: map[string]string{}, sentOrders: map[int]sentOrder{}, directReadAt: map[string]time.Time{}, otherGroup: map[string]bool{}, startedAt: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
 	}
 }
