--- a/parts/admission/priority_test.go
+++ b/parts/admission/priority_test.go
@@ -167,3 +167,19 @@
 	is.Equal(got[1]+got[2], 10)
 	is.True(got[1] >= 4 && got[2] >= 4)
 }
+
+// BenchmarkOfferToFullQueue measures what a request costs a leader while 500 others wait.
+func BenchmarkOfferToFullQueue(b *testing.B) {
+	q := admission.NewQueue(1)
+	q.SetMinimumShare(0.1)
+	q.Offer(start, urgent("runs", 0, time.Hour))
+	for i := range 500 {
+		q.Offer(start, urgent(fmt.Sprint("w", i), i%3, 100*time.Hour))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Offer(start, urgent("new", 0, 100*time.Hour))
+		q.Displaced(start)
+		q.Remove("new")
+	}
+}
--- a/parts/admission/queue.go
+++ b/parts/admission/queue.go
@@ -252,11 +252,12 @@
 // more urgent ones have come. The first of each level stays, as the minimum share may serve it.
 func (q *Queue) Displaced(now time.Time) []Request {
 	var displaced []Request
-	var previous *level
-	ahead := 0
+	var previous level
+	seen, ahead := 0, 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(w waitingRequest) bool {
-		isFirst := previous == nil || *previous != w.level
-		previous = &w.level
+		isFirst := seen == 0 || previous != w.level
+		seen++
+		previous = w.level
 		if !isFirst && !now.Add(q.waitBehind(ahead)).Before(w.request.Deadline) {
 			displaced = append(displaced, w.request)
 			return true
