--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -46,20 +46,9 @@
 	// maxSlotHold is the time after which a slot is freed if its release was lost.
 	// No route that users have configured on their platform allows a longer response.
 	maxSlotHold = 9 * time.Second
-	// maxRefused bounds the number of retained refused requests. It covers several
-	// seconds of a burst at ten times the load at the time of writing.
-	maxRefused = 8192
 	// maxMoveSends is the number of times a move is sent, once per tick of the
 	// leader, because datagrams can be lost.
 	maxMoveSends = 3
-	// minRetryAfter is the shortest retry-after of a refused request, about the
-	// duration of one stream.
-	minRetryAfter = 500 * time.Millisecond
-	// maxRetryAfter is the longest retry-after of a request that was refused for want of room. Callers of
-	// streams give up after some seconds.
-	maxRetryAfter = 2500 * time.Millisecond
-	// returnShare is the share of the starts that the returning requests of one priority may need.
-	returnShare = 0.2
 )
 
 // Rank is the known state of one rank.
@@ -145,20 +134,6 @@
 // DefaultPriority is the priority of requests of entries that send none.
 var DefaultPriority = routes.Priority{Route: 5}
 
-const (
-	// outputWeight is the weight of the newest request in the moving average of output lengths.
-	outputWeight = 0.02
-	// minBoundShare is the least share of the slots to which the pace bounds a group. Below it a stalled rank, not
-	// the number of requests, makes passes long.
-	minBoundShare = 0.2
-	// usualPassWeight is the weight of the newest expected duration of a pass, ten times a second, in the moving
-	// average. Slots are held for one to two seconds.
-	usualPassWeight = 0.06
-	// endMargin is the factor by which a request must be expected to outlast its caller's time to be refused for it.
-	// Expected output lengths are often far off.
-	endMargin = 2
-)
-
 // Config says what gives way when there is too little room. With the zero Config all requests wait in one line, and
 // ranks run as many as they have slots.
 type Config struct {
@@ -173,13 +148,17 @@
 func New(c Config) *Scheduler {
 	queue := admission.NewQueue(0)
 	queue.SetMinimumShare(c.MinimumShare)
-	return &Scheduler{config: c, ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{}, queue: queue, refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}, nextReturn: map[routes.Priority]time.Time{}}
+	return &Scheduler{
+		config: c, queue: queue, ranks: map[string]Rank{}, assignments: map[string]assignment{}, waiting: map[string]Request{},
+		refused: map[uint64]time.Time{}, limits: map[string]rankLimit{}, evacuated: map[string]time.Time{}, nextReturn: map[routes.Priority]time.Time{},
+	}
 }
 
 // SetRanks replaces the ranks that requests can be assigned to.
 func (s *Scheduler) SetRanks(now time.Time, ranks []Rank) {
 	s.dropExpiredLimits(now)
 	s.dropExpiredEvacuations(now)
+	s.dropPastReturns(now)
 	s.ranks = make(map[string]Rank, len(ranks))
 	for _, r := range ranks {
 		s.ranks[r.Engine] = r
@@ -210,53 +189,6 @@
 	s.queue.SetCapacity(capacity)
 }
 
-// SetEngine sets what decides the duration of the group's passes.
-func (s *Scheduler) SetEngine(e pace.Engine) { s.engine = e }
-
-// RecordSkew records the skew of the experts' load under the expert map in force; see pace.Bound.WithSkew.
-func (s *Scheduler) RecordSkew(now time.Time, ofDemand, withSpeeds float64) {
-	s.pace = s.pace.WithSkew(now, ofDemand, withSpeeds)
-}
-
-// setBound sets the number of requests that may run by the pace of the group, given the slots of its ranks.
-func (s *Scheduler) setBound(now time.Time, slots int) {
-	s.updateSlowdown()
-	n, bounded := s.pace.Requests(now, len(s.ranks), s.engine, s.pauseGoal())
-	n = max(n, int(math.Ceil(minBoundShare*float64(slots))))
-	if !s.config.ByPriority || !bounded || n >= slots {
-		n = 0
-	}
-	s.bound = n
-}
-
-// updateSlowdown tells the queue how much longer passes are expected to take now than they did lately.
-func (s *Scheduler) updateSlowdown() {
-	if !s.config.ByPriority || s.engine.PerRequest <= 0 || len(s.ranks) == 0 {
-		return
-	}
-	pass := float64(s.engine.Pass(float64(len(s.assignments))/float64(len(s.ranks)), max(s.pace.Current(), 1)))
-	if s.usualPass == 0 {
-		s.usualPass = pass
-	}
-	s.usualPass += usualPassWeight * (pass - s.usualPass)
-	s.queue.SetSlowdown(max(pass/s.usualPass, 1))
-}
-
-// pauseGoal returns the shortest pause between two events that the callers of running requests accept, 0 if none is
-// known.
-func (s *Scheduler) pauseGoal() time.Duration {
-	shortest := time.Duration(0)
-	for _, a := range s.assignments {
-		if pause := a.request.PauseGoal; pause > 0 && (shortest == 0 || pause < shortest) {
-			shortest = pause
-		}
-	}
-	return shortest
-}
-
-// RequestBound returns the number of requests that may run by the pace of the group, 0 for no bound.
-func (s *Scheduler) RequestBound() int { return s.bound }
-
 // maxSlowdown returns the slowdown up to which ranks should run requests to maximise
 // the throughput of the group, that is the slots of these ranks divided by the time of a
 // pass. The unit of that time is the time that a rank's own requests take with a slowdown
@@ -370,83 +302,6 @@
 	return s.refuse(now, r, freeAt)
 }
 
-// displace refuses the waiting requests that a more urgent one has left without a slot in time.
-func (s *Scheduler) displace(now time.Time) {
-	if !s.config.ByPriority {
-		return
-	}
-	for _, d := range s.queue.Displaced(now) {
-		r := s.waiting[d.ID]
-		delete(s.waiting, d.ID)
-		s.displaced = append(s.displaced, s.refuse(now, r, now))
-	}
-}
-
-// TakeDisplaced returns the refusals of waiting requests that offers since the last call have displaced.
-func (s *Scheduler) TakeDisplaced() []Decision {
-	displaced := s.displaced
-	s.displaced = nil
-	return displaced
-}
-
-// outlastsCaller reports whether a request is expected to run much longer than its caller waits.
-func (s *Scheduler) outlastsCaller(now time.Time, r Request, work float64) bool {
-	expected := time.Duration(work * float64(s.queue.ServiceTime()))
-	return !r.EndBy.IsZero() && expected > endMargin*r.EndBy.Sub(now)
-}
-
-// workOf returns the expected work of a request relative to that of a usual one, by the length of its output, which
-// decides how long it holds its slot.
-func (s *Scheduler) workOf(r Request) float64 {
-	if r.OutputTokens <= 0 {
-		return 1
-	}
-	if s.outputTokens == 0 {
-		s.outputTokens = float64(r.OutputTokens)
-	}
-	s.outputTokens += outputWeight * (float64(r.OutputTokens) - s.outputTokens)
-	return float64(r.OutputTokens) / s.outputTokens
-}
-
-// refuse refuses a request and retains the time of its first refusal, from which the
-// latency goal counts when the request is retried. freeAt is the time at which a slot is
-// expected to be free, or now if that is not known.
-func (s *Scheduler) refuse(now time.Time, r Request, freeAt time.Time) Decision {
-	if _, ok := s.refused[r.Fingerprint]; !ok {
-		if len(s.refused) >= maxRefused {
-			s.evictRefused(now)
-		}
-		if len(s.refused) < maxRefused {
-			s.refused[r.Fingerprint] = now
-		}
-	}
-	return Decision{ID: r.ID, RetryAt: s.returnAt(now, r, later(freeAt, now.Add(minRetryAfter)))}
-}
-
-// returnAt returns when a refused request should come back, not before the given time. Requests of one priority return
-// one after the other, at a rate that leaves most of the slots to new ones.
-func (s *Scheduler) returnAt(now time.Time, r Request, earliest time.Time) time.Time {
-	if !s.config.ByPriority || len(s.assignments) == 0 {
-		return earliest // if nothing runs, the rate of starts is not known
-	}
-	at := later(s.nextReturn[r.Priority], earliest)
-	if latest := later(now.Add(maxRetryAfter), earliest); at.After(latest) {
-		return latest
-	}
-	spacing := s.queue.ServiceTime().Seconds() / (returnShare * float64(len(s.assignments)))
-	s.nextReturn[r.Priority] = at.Add(time.Duration(spacing * float64(time.Second)))
-	return at
-}
-
-// evictRefused deletes the retained refusals that are older than maxSlotHold.
-func (s *Scheduler) evictRefused(now time.Time) {
-	for fingerprint, first := range s.refused {
-		if now.Sub(first) > maxSlotHold {
-			delete(s.refused, fingerprint)
-		}
-	}
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
