Apply the order of admission only where a configuration has more than one priority

Entries now send priority, expected output and pause goal only for services whose streams have more than one priority; the leader bounds and reorders nothing without them.

--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -350,9 +350,12 @@
 	request := mesh.SlotRequest{
 		ID: c.info.AttemptID, Service: c.service.Name, Organisation: c.organisation.Name, Fingerprint: c.fingerprint,
 		PromptTokens: c.info.PromptTokens, Movable: rl.movable(c),
-		OutputTokens: c.info.OutputTokens, Priority: &c.priority, PauseGoalMS: int(c.route.PauseGoal.Milliseconds()), EndInMS: int(remaining.Milliseconds()),
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
+	if rl.config.View.Routes().HasPriorities(c.service.Name) {
+		request.Priority, request.OutputTokens = &c.priority, c.info.OutputTokens
+		request.PauseGoalMS, request.EndInMS = int(c.route.PauseGoal.Milliseconds()), int(remaining.Milliseconds())
+	}
 	request.Limits = rl.config.Limits.ofEngines(targets, c.service)
 	request.EvacuatedZones = rl.config.View.Routes().EvacuatedZones()
 	request.ExcludedEngines = rl.loads.unavailable(now, targets, c.service.Name)
--- a/parts/rankscheduler/bound.go
+++ b/parts/rankscheduler/bound.go
@@ -19,6 +19,9 @@
 // SetEngine sets what decides the duration of the group's passes.
 func (s *Scheduler) SetEngine(e pace.Engine) { s.engine = e }
 
+// NeedsSkew reports whether the pace of the group bounds the requests that run, so that RecordSkew is to be called.
+func (s *Scheduler) NeedsSkew() bool { return s.config.ByPriority && s.pauseGoal() > 0 }
+
 // RecordSkew records the skew of the experts' load under the expert map in force; see pace.Bound.WithSkew.
 func (s *Scheduler) RecordSkew(now time.Time, ofDemand, withSpeeds float64) {
 	s.pace = s.pace.WithSkew(now, ofDemand, withSpeeds)
@@ -29,7 +32,7 @@
 	s.updateSlowdown()
 	n, bounded := s.pace.Requests(now, len(s.ranks), s.engine, s.pauseGoal())
 	n = max(n, int(math.Ceil(minBoundShare*float64(slots))))
-	if !s.config.ByPriority || !bounded || n >= slots {
+	if !s.NeedsSkew() || !bounded || n >= slots {
 		n = 0
 	}
 	s.bound = n
@@ -37,7 +40,8 @@
 
 // updateSlowdown tells the queue how much longer passes are expected to take now than they did lately.
 func (s *Scheduler) updateSlowdown() {
-	if !s.config.ByPriority || s.engine.PerRequest <= 0 || len(s.ranks) == 0 {
+	if !s.NeedsSkew() || s.engine.PerRequest <= 0 || len(s.ranks) == 0 {
+		s.queue.SetSlowdown(1)
 		return
 	}
 	pass := float64(s.engine.Pass(float64(len(s.assignments))/float64(len(s.ranks)), max(s.pace.Current(), 1)))
--- a/parts/rankscheduler/overload_test.go
+++ b/parts/rankscheduler/overload_test.go
@@ -110,7 +110,7 @@
 			results[st.priority].asked++
 			waiting[id] = st
 			record(s.Offer(now, rankscheduler.Request{
-				ID: id, Fingerprint: uint64(n), Organisation: fmt.Sprint(n % 5), Priority: routes.Priority{Route: st.priority}, PauseGoal: pauseGoal,
+				ID: id, Fingerprint: uint64(n), Organisation: fmt.Sprint(n % 5), Priority: &routes.Priority{Route: st.priority}, PauseGoal: pauseGoal,
 				OutputTokens: 50 + n%100, StartBy: now.Add(firstEventGoal), WaitUntil: now.Add(maxWait),
 			}))
 			for _, d := range s.TakeDisplaced() {
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -69,7 +69,9 @@
 	Fingerprint  uint64
 	PromptTokens int // length in tokens
 	OutputTokens int // expected length in tokens; 0 if not known
-	Priority     routes.Priority
+	// Priority orders requests if the configuration has more than one; nil if not. What Config.ByPriority says then
+	// holds for no request.
+	Priority *routes.Priority
 	// PauseGoal is the longest pause between two events that the caller accepts; 0 if there is none.
 	PauseGoal time.Duration
 	// EndBy is the time after which the response is of no use; zero if not known.
@@ -131,19 +133,22 @@
 	displaced    []Decision
 }
 
-// DefaultPriority is the priority of requests of entries that send none.
-var DefaultPriority = routes.Priority{Route: 5}
+// defaultPriority is the priority of requests without one, such as those of older entries.
+var defaultPriority = routes.Priority{Route: 5}
 
 // Config says what gives way when there is too little room. With the zero Config all requests wait in one line, and
 // ranks run as many as they have slots.
 type Config struct {
 	// ByPriority admits more urgent requests first, bounds the requests that run by the pace of the group, and
-	// spreads the return of refused ones.
+	// spreads the return of refused ones. It takes effect for requests with a priority.
 	ByPriority bool
 	// MinimumShare is the share of the starts that goes to the priority that was passed over most.
 	MinimumShare float64
 }
 
+// byPriority reports whether the order of admission and what belongs to it holds for a request.
+func (s *Scheduler) byPriority(r Request) bool { return s.config.ByPriority && r.Priority != nil }
+
 // New returns a Scheduler without ranks.
 func New(c Config) *Scheduler {
 	queue := admission.NewQueue(0)
@@ -287,7 +292,7 @@
 		return s.refuse(now, r, now.Add(wait))
 	}
 	queued := s.queueRequest(now, r)
-	if s.config.ByPriority && s.outlastsCaller(now, r, queued.Work) {
+	if s.byPriority(r) && s.outlastsCaller(now, r, queued.Work) {
 		return s.refuse(now, r, now)
 	}
 	decision, freeAt := s.queue.Offer(now, queued)
@@ -296,7 +301,9 @@
 		return s.assign(now, r)
 	case admission.DecisionWait:
 		s.waiting[r.ID] = r
-		s.displace(now)
+		if s.byPriority(r) {
+			s.displace(now)
+		}
 		return Decision{ID: r.ID, Queued: true}
 	}
 	return s.refuse(now, r, freeAt)
@@ -318,7 +325,10 @@
 		ID: r.ID, Organisation: r.Organisation, Class: contract.ClassInteractive, Work: 1, Deadline: r.StartBy,
 	}
 	if s.config.ByPriority {
-		queued.Priority, queued.Work = r.Priority, s.workOf(r)
+		queued.Priority = defaultPriority
+	}
+	if s.byPriority(r) {
+		queued.Priority, queued.Work = *r.Priority, s.workOf(r)
 	}
 	if first, ok := s.refused[r.Fingerprint]; ok && now.Sub(first) > r.StartBy.Sub(now) {
 		queued.Class, queued.Deadline = contract.ClassBatch, r.WaitUntil
--- a/parts/rankscheduler/refusal.go
+++ b/parts/rankscheduler/refusal.go
@@ -28,9 +28,6 @@
 
 // displace refuses the waiting requests that a more urgent one has left without a slot in time.
 func (s *Scheduler) displace(now time.Time) {
-	if !s.config.ByPriority {
-		return
-	}
 	for _, d := range s.queue.Displaced(now) {
 		r := s.waiting[d.ID]
 		delete(s.waiting, d.ID)
@@ -82,15 +79,15 @@
 // returnAt returns when a refused request should come back, not before the given time. Requests of one priority return
 // one after the other, at a rate that leaves most of the slots to new ones.
 func (s *Scheduler) returnAt(now time.Time, r Request, earliest time.Time) time.Time {
-	if !s.config.ByPriority || len(s.assignments) == 0 {
+	if !s.byPriority(r) || len(s.assignments) == 0 {
 		return earliest // if nothing runs, the rate of starts is not known
 	}
-	at := later(s.nextReturn[r.Priority], earliest)
+	at := later(s.nextReturn[*r.Priority], earliest)
 	if latest := later(now.Add(maxRetryAfter), earliest); at.After(latest) {
 		return latest
 	}
 	spacing := s.queue.ServiceTime().Seconds() / (returnShare * float64(len(s.assignments)))
-	s.nextReturn[r.Priority] = at.Add(time.Duration(spacing * float64(time.Second)))
+	s.nextReturn[*r.Priority] = at.Add(time.Duration(spacing * float64(time.Second)))
 	return at
 }
 
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -287,12 +287,9 @@
 	in := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	request := rankscheduler.Request{
 		ID: r.ID, Organisation: r.Organisation, Zone: from.Zone, Fingerprint: r.Fingerprint, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Exclude: r.ExcludedEngines, Movable: r.Movable, PauseGoal: time.Duration(r.PauseGoalMS) * time.Millisecond, Priority: rankscheduler.DefaultPriority,
+		Exclude: r.ExcludedEngines, Movable: r.Movable, PauseGoal: time.Duration(r.PauseGoalMS) * time.Millisecond, Priority: r.Priority,
 		StartBy: in(r.StartInMS), WaitUntil: in(r.LatestInMS),
 	}
-	if r.Priority != nil {
-		request.Priority = *r.Priority
-	}
 	if r.EndInMS > 0 {
 		request.EndBy = in(r.EndInMS)
 	}
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -233,7 +233,7 @@
 // updatePace tells the scheduler what decides the duration of passes: the published costs, and the skew of the
 // experts' load under the map in force.
 func (l *leader) updatePace(now time.Time) {
-	if l.settings.RequestPassMS <= 0 {
+	if l.settings.RequestPassMS <= 0 || !l.scheduler.NeedsSkew() {
 		return
 	}
 	l.scheduler.SetEngine(newPaceEngine(l.settings))
