--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -165,13 +165,8 @@
 	return t
 }
 
-// prioritised returns the services whose streams have more than one priority, by their routes or by the
-// organisations.
+// prioritised returns the services whose streams have more than one priority by their routes.
 func prioritised(c Config) map[string]bool {
-	organisations := map[int]bool{}
-	for _, o := range c.Keys {
-		organisations[o.Priority] = true
-	}
 	byRoute := map[string]map[int]bool{}
 	for _, r := range c.Routes {
 		for _, s := range r.Services {
@@ -186,13 +181,13 @@
 	}
 	services := map[string]bool{}
 	for service, priorities := range byRoute {
-		services[service] = len(priorities) > 1 || len(organisations) > 1
+		services[service] = len(priorities) > 1
 	}
 	return services
 }
 
-// HasPriorities reports whether the streams of a service have more than one priority. Where all have the same, none
-// is told to what admits them.
+// HasPriorities reports whether the streams of a service have more than one priority by their routes. Where all have the
+// same, no priority is told to what admits them.
 func (t *Table) HasPriorities(service string) bool { return t.prioritised[service] }
 
 // Version returns the version of the table; a higher version is newer.
