End held evacuations at all entries

Callers would have seen a zone unused for good at most entries: after the store had come back from an older copy without an evacuation, the entry that read it held the zone for 6 s and sent it to its peers as if it were listed; what it read later had the same offset, so the peers ignored it. Store updates now hold the zones as read, with the store's era, and each entry holds back by itself, by its own clock. The stream isn't listed again for it. Older entries send no zones and are not applied, as before.

--- a/entryd/storeview/evacuation_test.go
+++ b/entryd/storeview/evacuation_test.go
@@ -58,5 +58,6 @@
 	is.Equal(read(), []string{"z"})
 	later := started.Add(10 * time.Second) // the operator has not written it again
 	now.Store(&later)
-	is.Equal(len(read()), 0)
+	go view.Run(t.Context())
+	is.True(eventually(2*time.Second, func() bool { return len(view.Routes().EvacuatedZones()) == 0 }))
 }
--- a/entryd/storeview/peers.go
+++ b/entryd/storeview/peers.go
@@ -111,6 +111,6 @@
 		v.config.Log.Warn().Err(err).Msg("cannot expand a peer's configuration; reading the store instead")
 		return false
 	}
-	v.applyPublished(Published{Configuration: configuration, EvacuatedZones: &m.EvacuatedZones}, m.Configuration, m.AsOf)
+	v.applyPublished(Published{Configuration: configuration, EvacuatedZones: &m.EvacuatedZones}, m.Era, m.Configuration, m.AsOf)
 	return true
 }
--- a/entryd/storeview/storeview.go
+++ b/entryd/storeview/storeview.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -125,9 +124,7 @@
 	routesOffset       int64           // end of the configuration stream as last read
 	proof              freshness.Proof // newest confirmed end of the configuration stream, and when the confirming read was sent
 	targets            registry.Registry
-	evacuated          []string  // zones whose targets must get no requests; also in routes
-	publishedEra       int64     // era of the store at the last read of the configuration stream
-	publishedAgainAt   time.Time // when the stream is listed again; zero if a read from routesOffset is enough
+	evacuated          evacuations
 	listed             bool      // the targets have been listed completely at least once
 	listedEra          int64     // era of the store at that listing
 	listAgainAt        time.Time // when the targets are listed again; zero if a read of the records is enough
@@ -286,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	v.mu.Lock()
-	routesOffset, targetsOffset := v.nextRoutesOffset(), v.targetsOffset
+	routesOffset, targetsOffset := v.routesOffset, v.targetsOffset
 	listed := v.listed && (v.listAgainAt.IsZero() || v.config.Now().Before(v.listAgainAt))
 	// If a peer has announced newer routes, the read leaves out the targets until they are due.
 	routesOnly := v.peerHasNewerRoutes && v.listed && v.config.Now().Before(v.targetsDueAt)
@@ -299,7 +296,7 @@
 	heartbeats := v.peerHeartbeats()
 	published, end, err := v.config.Store.ReadPublished(ctx, routesOffset)
 	if err == nil {
-		v.applyPublished(v.withRestored(published), end, asOf)
+		v.applyPublished(published, v.era(), end, asOf)
 	}
 	if err != nil {
 		v.recordFailure(err)
@@ -321,51 +318,15 @@
 	}
 	update := mesh.StoreUpdate{Configuration: end, From: targetsOffset, End: records.End, Targets: records.Raw, RegistryRead: !routesOnly && err == nil}
 	if !published.isEmpty() {
-		update.Published, update.HasZones, update.EvacuatedZones = compress(published.Configuration), true, v.evacuatedZones()
+		update.Published, update.HasZones, update.Era = compress(published.Configuration), true, v.era()
+		update.EvacuatedZones = v.listedEvacuations()
 	}
 	v.notifyPeers(update, records.Truncated, heartbeats)
 }
 
-// nextRoutesOffset returns the offset from which the configuration stream is read next; 0 lists all of it. The
-// caller holds v.mu.
-func (v *View) nextRoutesOffset() int64 {
-	if !v.publishedAgainAt.IsZero() && !v.config.Now().Before(v.publishedAgainAt) {
-		return 0
-	}
-	return v.routesOffset
-}
-
-// withRestored returns what was read with the zones that were evacuated before the store came back from an
-// older copy, which may lack the record. They stay until the operators' records are written again.
-func (v *View) withRestored(p Published) Published {
-	era := v.era()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if p.EvacuatedZones == nil {
-		return p
-	}
-	restored := era != v.publishedEra && v.routes != nil
-	v.publishedEra, v.publishedAgainAt = era, time.Time{}
-	if restored && len(v.evacuated) > 0 {
-		zones := slices.Concat(*p.EvacuatedZones, v.evacuated)
-		slices.Sort(zones)
-		zones = slices.Compact(zones)
-		p.EvacuatedZones = &zones
-		v.publishedAgainAt = v.config.Now().Add(restoredLapse)
-	}
-	return p
-}
-
-// evacuatedZones returns the zones whose targets must get no requests.
-func (v *View) evacuatedZones() []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.evacuated
-}
-
 // applyPublished parses and applies what operators have published. If the configuration cannot be
 // parsed, the routes in force stay, and count as confirmed.
-func (v *View) applyPublished(p Published, end int64, asOf freshness.Instant) {
+func (v *View) applyPublished(p Published, era, end int64, asOf freshness.Instant) {
 	var table *routes.Table
 	if p.Configuration != nil {
 		var err error
@@ -373,23 +334,23 @@
 			v.config.Log.Warn().Err(err).Int64("offset", end).Msg("cannot parse the published configuration; keeping the routes in force")
 		}
 	}
-	v.applyRoutes(table, p.EvacuatedZones, end, asOf)
+	v.applyRoutes(table, p.EvacuatedZones, era, end, asOf)
 }
 
 // applyRoutes puts the table and the evacuated zones in force unless they are nil or older than what
 // is known, and adds to the proof that the configuration stream ended at the offset end at the
 // time asOf, by this entry's steady clock.
-func (v *View) applyRoutes(table *routes.Table, zones *[]string, end int64, asOf freshness.Instant) {
+func (v *View) applyRoutes(table *routes.Table, zones *[]string, era, end int64, asOf freshness.Instant) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if zones != nil && end >= v.routesOffset {
-		v.setEvacuated(*zones, end)
+		v.setEvacuated(v.evacuated.withListed(*zones, era, v.config.Now()))
 	}
 	if table != nil && (v.routes == nil || table.Version() >= v.routes.Version()) && end >= v.routesOffset {
 		if v.routes == nil || table.Version() > v.routes.Version() {
 			v.config.Log.Info().Int64("version", table.Version()).Int64("offset", end).Msg("routes in force")
 		}
-		v.routes = table.WithEvacuatedZones(v.evacuated)
+		v.routes = table.WithEvacuatedZones(v.evacuated.zones())
 	}
 	if end > v.routesOffset {
 		v.routesOffset = end
@@ -398,23 +359,6 @@
 	v.proof = v.proof.With(end, asOf)
 }
 
-// setEvacuated puts the evacuated zones in force. The caller holds v.mu.
-func (v *View) setEvacuated(zones []string, end int64) {
-	if slices.Equal(zones, v.evacuated) {
-		return
-	}
-	v.config.Log.Warn().Strs("zones", zones).Strs("before", v.evacuated).Int64("offset", end).Msg("evacuated zones changed")
-	for _, zone := range zones {
-		if v.listed && !v.targets.HasZone(zone) {
-			v.config.Log.Warn().Str("zone", zone).Msg("no target is registered in the evacuated zone; check its name")
-		}
-	}
-	v.evacuated = zones
-	if v.routes != nil {
-		v.routes = v.routes.WithEvacuatedZones(zones)
-	}
-}
-
 // recordFailure notes that a read failed and schedules the next attempt.
 func (v *View) recordFailure(err error) {
 	v.mu.Lock()
--- a/entryd/storeview/storeview_test.go
+++ b/entryd/storeview/storeview_test.go
@@ -403,3 +403,20 @@
 		is.Equal(len(v.Targets().Serving("s")), 0)
 	}
 }
+
+// TestHeldEvacuationEndsAtAllEntries guards against an entry that keeps a zone evacuated for good, because it heard only from
+// a peer of the zones that are held back after the store has come back from an older copy.
+func TestHeldEvacuationEndsAtAllEntries(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 4)
+	f.evacuate("z")
+	is.True(eventually(2*time.Second, func() bool { return f.allEvacuate("z") }))
+	f.store.mu.Lock()
+	f.store.era++
+	f.store.zones = nil // the copy lacks the record, and the operator does not write it again
+	f.store.version++
+	f.store.mu.Unlock()
+	is.True(eventually(2*time.Second, func() bool { return f.allAtVersion(3) }))
+	is.True(f.allEvacuate("z"))
+	is.True(eventually(10*time.Second, func() bool { return f.allEvacuate() }))
+}
--- a/entryd/storeview/targets.go
+++ b/entryd/storeview/targets.go
@@ -8,9 +8,10 @@
 )
 
 // expire drops the targets that did not register again within outageGrace after their
-// registration was removed.
+// registration was removed, and the evacuated zones that are held no longer.
 func (v *View) expire() {
 	v.mu.Lock()
+	v.setEvacuated(v.evacuated.withoutExpired(v.config.Now()))
 	before := v.targets
 	v.targets = v.targets.WithoutExpired(v.config.Now())
 	after := v.targets
--- a/parts/mesh/messages.go
+++ b/parts/mesh/messages.go
@@ -86,6 +86,8 @@
 	// HasZones is set with Published by all daemons that know of evacuations.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	HasZones       bool     `json:"has_zones,omitempty"`
+	// Era is how often the store had come back from an older copy at the read; set with HasZones.
+	Era int64 `json:"era,omitempty"`
 	// AsOf is Heartbeat.Sent of the newest heartbeat from the receiver that had arrived
 	// before the read was sent. By the clock of the receiver, the data is therefore
 	// at least as recent as AsOf. It is 0 if there was no heartbeat.
