Send targets a priority only where routes of streams differ in priority

Now the header goes out only if the streams of some service have more than one priority by their routes.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -126,6 +126,7 @@
 	"targets_lapsed":     "the registrations of all targets of its service lapsed in an outage of the registry, and none has registered since; it did not run",
 	"no_place":           "the group had no free slot in time, or was closed; it did not run",
 	"targets_paused":     "all targets had asked to be left alone for a while; it did not run",
+	"targets_evacuated":  "all targets of its service were in evacuated zones; it did not run",
 	"targets_limited":    "all targets were at the rate limits that they name; it did not run",
 	"target_refused":     "targets were full or draining; it did not run",
 	"target_unreached":   "no target took a connection; it did not run",
--- a/entryd/relay/protocol.go
+++ b/entryd/relay/protocol.go
@@ -31,9 +31,9 @@
 type TargetHeaders struct {
 	TargetID     string // ID of the target; any other target refuses the request
 	Organisation string
-	Priority     routes.Priority
-	Remaining    time.Duration // time left until the request's deadline
-	LastEventID  string        // ID of the last event the relay has sent to the caller; empty at the stream's start
+	Priority     *routes.Priority // nil if the configuration calls for none
+	Remaining    time.Duration    // time left until the request's deadline
+	LastEventID  string           // ID of the last event the relay has sent to the caller; empty at the stream's start
 }
 
 // ResponseClass tells whether a target ran the request that it answered.
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -130,7 +130,7 @@
 	info          RequestInfo
 	organisation  routes.Organisation
 	route         routes.Route
-	priority      routes.Priority
+	priority      *routes.Priority // nil if the configuration calls for none
 	service       routes.Service
 	request       *http.Request
 	body          []byte
@@ -352,8 +352,8 @@
 		PromptTokens: c.info.PromptTokens, Movable: rl.movable(c),
 		StartInMS: int(startWithin.Milliseconds()), LatestInMS: int(max(startWithin, min(overdueMaxWait, remaining)).Milliseconds()),
 	}
-	if rl.config.View.Routes().HasPriorities(c.service.Name) {
-		request.Priority, request.OutputTokens = &c.priority, c.info.OutputTokens
+	if c.priority != nil && rl.config.View.Routes().HasPriorities(c.service.Name) {
+		request.Priority, request.OutputTokens = c.priority, c.info.OutputTokens
 		request.PauseGoalMS, request.EndInMS = int(c.route.PauseGoal.Milliseconds()), int(remaining.Milliseconds())
 	}
 	request.Limits = rl.config.Limits.ofEngines(targets, c.service)
--- a/parts/routes/routes.go
+++ b/parts/routes/routes.go
@@ -186,6 +186,16 @@
 	return services
 }
 
+// UsesPriorities reports whether the streams of any service have more than one priority.
+func (t *Table) UsesPriorities() bool {
+	for _, differ := range t.prioritised {
+		if differ {
+			return true
+		}
+	}
+	return false
+}
+
 // HasPriorities reports whether the streams of a service have more than one priority by their routes. Where all have the
 // same, no priority is told to what admits them.
 func (t *Table) HasPriorities(service string) bool { return t.prioritised[service] }
--- a/parts/routes/routes_test.go
+++ b/parts/routes/routes_test.go
@@ -87,4 +87,6 @@
 	is.True(table(0, 1, 2).HasPriorities("s"))
 	is.True(!table(0, 1, 1).HasPriorities("s"))
 	is.True(!table(0).HasPriorities("s")) // no streams
+	is.True(table(0, 1, 2).UsesPriorities())
+	is.True(!table(0, 1, 1).UsesPriorities())
 }
