Announce a full load for a group in evacuated zones only; tests of returns and of requests that outlast their callers

A group whose ranks are all in an evacuated zone announced the load of a free one, so entries asked it first and were refused there before they asked another. Its load now counts only ranks that may get requests. TestEvacuatedRanksGetNoRequests failed on the code before.

--- a/parts/rankscheduler/limits_test.go
+++ b/parts/rankscheduler/limits_test.go
@@ -79,6 +79,8 @@
 	is.Equal(offer("c").Engine, "e1")                    // the one that runs in the zone takes no slot of another rank
 	is.True(offer("d").Engine == "" && s.Waiting() == 0) // refused, not queued
 	s.SetEvacuated(now, []string{"a", "b"})
+	s.SetRanks(now, ranks)
+	is.True(s.Load() > 1) // so that entries ask other groups first
 	s.Release(now, "c")
 	d := offer("e")
 	is.True(d.Engine == "" && !d.Queued)
--- a/parts/rankscheduler/overload_test.go
+++ b/parts/rankscheduler/overload_test.go
@@ -168,3 +168,42 @@
 	is.True(results[0].share() > results[2].share())
 	is.True(results[2].share() > 0.25)
 }
+
+// TestRefusedRequestsReturnOneAfterTheOther guards against refused requests that all come back at the same moment, into the
+// same overload, and against urgent ones that return behind less urgent ones.
+func TestRefusedRequestsReturnOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	s := rankscheduler.New(rankscheduler.Config{ByPriority: true})
+	now := time.Unix(0, 0)
+	s.SetRanks(now, []rankscheduler.Rank{{Engine: "e0", Slots: 1, Slowdown: 1}})
+	offer := func(id string, route int) rankscheduler.Decision {
+		return s.Offer(now, rankscheduler.Request{ID: id, Priority: &routes.Priority{Route: route}, StartBy: now, WaitUntil: now})
+	}
+	is.Equal(offer("runs", 0).Engine, "e0")
+	var last time.Time
+	for i := range 100 {
+		d := offer(fmt.Sprint("r", i), 1)
+		is.True(d.Engine == "" && !d.Queued)
+		is.True(i == 0 || d.RetryAt.After(last) || d.RetryAt.Equal(now.Add(2500*time.Millisecond))) // callers give up later
+		last = d.RetryAt
+	}
+	is.True(offer("urgent", 0).RetryAt.Before(last))
+}
+
+// TestRequestThatOutlastsItsCallerIsRefused guards against a start for a request that can't end before its caller gives up.
+func TestRequestThatOutlastsItsCallerIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := rankscheduler.New(rankscheduler.Config{ByPriority: true})
+	now := time.Unix(0, 0)
+	s.SetRanks(now, []rankscheduler.Rank{{Engine: "e0", Slots: 10, Slowdown: 1}})
+	offer := func(id string, endIn time.Duration) rankscheduler.Decision {
+		return s.Offer(now, rankscheduler.Request{ID: id, Priority: &routes.Priority{}, OutputTokens: 100, StartBy: now.Add(time.Second), WaitUntil: now.Add(time.Second), EndBy: now.Add(endIn)})
+	}
+	for i := range 100 { // each runs for a second
+		is.Equal(offer(fmt.Sprint(i), time.Hour).Engine, "e0")
+		now = now.Add(time.Second)
+		s.Release(now, fmt.Sprint(i))
+	}
+	is.Equal(offer("short", 300*time.Millisecond).Engine, "")
+	is.Equal(offer("enough", 2*time.Second).Engine, "e0")
+}
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -118,6 +118,8 @@
 	// slots is the maximum number of requests that each engine should run, by address:
 	// Rank.Slots, or 0 if the rank is too slow to run any.
 	slots map[string]int
+	// assignable is the sum of the slots of the ranks that are in no evacuated zone.
+	assignable int
 	// limits holds the rate limits of engines by address.
 	limits map[string]rankLimit
 	// evacuated holds the zones whose engines must get no requests, with the time at which each is
@@ -174,6 +176,7 @@
 		running[a.engine]++
 	}
 	s.slots = make(map[string]int, len(ranks))
+	s.assignable = 0
 	capacity := 0
 	for _, r := range ranks {
 		s.slots[r.Engine] = s.usableSlots(now, r)
@@ -184,6 +187,7 @@
 		if s.isEvacuated(now, r.Zone) {
 			slots = 0
 		}
+		s.assignable += slots
 		// Requests that a rank ran before it became slow or was evacuated take no slots of other ranks.
 		capacity += max(slots, min(running[r.Engine], r.Slots))
 	}
@@ -266,14 +270,15 @@
 // Load returns the share of the slots that requests use or wait for; above 1 if more wait than are
 // free.
 func (s *Scheduler) Load() float64 {
-	slots := 0
-	for _, n := range s.slots {
-		slots += n
-	}
+	slots := s.assignable
 	if s.bound > 0 {
 		slots = min(slots, s.bound)
 	}
-	return float64(len(s.assignments)+len(s.waiting)) / float64(max(slots, 1))
+	load := float64(len(s.assignments) + len(s.waiting))
+	if slots == 0 && len(s.ranks) > 0 {
+		return 1 + load // no rank may get a request
+	}
+	return load / float64(max(slots, 1))
 }
 
 // Offer assigns a slot to a request, queues it, or refuses it. It returns the same
