--- a/entryd/relay/groups_test.go
+++ b/entryd/relay/groups_test.go
@@ -20,6 +20,8 @@
 	host         mesh.Host
 	announcement mesh.LeaderAnnouncement
 	refuses      atomic.Bool
+	after        atomic.Int64 // milliseconds after which it answers
+	startIn      atomic.Int64 // StartInMS of the last slot request
 }
 
 // startGroupLeaders starts a leader of a group of its own for each target.
@@ -44,6 +46,8 @@
 			Self: l.host, PeerTimeout: time.Second, Now: time.Now, Log: zerolog.Nop(),
 			Handle: func(from mesh.Host, message mesh.Message) {
 				if r := message.SlotRequest; r != nil {
+					l.startIn.Store(int64(r.StartInMS))
+					time.Sleep(time.Duration(l.after.Load()) * time.Millisecond)
 					response := mesh.SlotResponse{ID: r.ID, Engine: l.host.Engine}
 					if l.refuses.Load() {
 						response = mesh.SlotResponse{ID: r.ID, RetryAfterMS: 1000}
@@ -96,3 +100,23 @@
 	runs = call(60)
 	is.True(runs["t0"] < runs["t1"] && runs["t0"] < runs["t2"])
 }
+
+// TestTimesOfSlotRequestCountOverAllGroups guards against a request that one group's leader refuses after a wait, and that may
+// then wait as long again at the next group, past its goal.
+func TestTimesOfSlotRequestCountOverAllGroups(t *testing.T) {
+	is := is.New(t)
+	route := streamRoute(2)
+	route.FirstByteGoal = time.Second
+	e := startWith(t, route, routes.Service{Name: "s", Engine: &routes.Engine{Slots: 4}}, serve("t0"), serve("t1"))
+	leaders := e.startGroupLeaders(t)
+	for _, l := range leaders {
+		l.refuses.Store(true)
+		l.after.Store(50)
+		e.slots.Handle(l.host, mesh.Message{LeaderAnnouncement: &l.announcement})
+	}
+	status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	first, second := leaders[0].startIn.Load(), leaders[1].startIn.Load()
+	is.True(max(first, second)-min(first, second) >= 45) // whichever was asked first
+}
