--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -39,8 +39,8 @@
 	Mesh *mesh.Mesh
 	Now  func() time.Time
 	Log  zerolog.Logger
-	// ColdRateFactor is the share of the published rate of cold targets that all entries use; see
-	// ColdRateFactor. Zero counts as 1.
+	// ColdRateFactor is the share of the published rate of cold targets that all entries use, as the
+	// function of this name returns it. Zero counts as 1.
 	ColdRateFactor float64
 }
 
@@ -49,9 +49,8 @@
 func ColdRateFactor(overage float64) float64 { return overage / (1 + limit.BurstSeconds) }
 
 // Limits keeps the requests of all entries together within the rates that targets name, and within the
-// published rate of targets that are cold. Entries tell
-// each other about a limit as soon as one learns of it. For each limited target, one entry counts:
-// the one with the highest hash of its name and the target's ID among the ready entries, on which
+// published rate of targets that are cold. Entries tell each other about a limit as soon as one learns
+// of it. For each limited target, one entry counts: the one with the highest hash of its name and the target's ID among the ready entries, on which
 // all of them agree without a message. An entry that gets no answer from it keeps to an equal share
 // of the limit by itself. It is safe for concurrent use.
 type Limits struct {
--- a/parts/pace/pace.go
+++ b/parts/pace/pace.go
@@ -49,9 +49,9 @@
 	begun   time.Time // of the first interval
 }
 
-// WithSkew returns the bound after the skew of the experts' load was measured: as it would be if all ranks were equally
-// fast, which is remembered, and with their speeds. A rank that recovers, or that has given up its experts, bounds the
-// group no longer.
+// WithSkew returns the bound with a new skew of the experts' load. ofDemand leaves out the speeds of the ranks and is
+// remembered; withSpeeds counts them and holds until the next call, so that a rank that recovers or gives up its experts
+// bounds the group no longer.
 func (b Bound) WithSkew(now time.Time, ofDemand, withSpeeds float64) Bound {
 	b = b.advanced(now)
 	b.highest[0] = max(b.highest[0], ofDemand)
@@ -72,7 +72,7 @@
 	return b
 }
 
-// Current returns the skew as last measured, 0 if none was.
+// Current returns the latest skew with the speeds of the ranks, 0 if there is none.
 func (b Bound) Current() float64 { return b.current }
 
 // Skew returns the skew to expect: the highest that is remembered, or the current one. It is 0 if none is known.
