Keep a target cold that becomes cold again as its cold time ends

A report that named an end up to 1.5 s after the known one counted as the same, so the target could get the requests of a warm one for that long. Found by reading; TestTargetThatIsColdAgainStaysCold failed on the code before. The later end now holds, a slightly earlier one changes nothing.

--- a/parts/registry/registry.go
+++ b/parts/registry/registry.go
@@ -36,10 +36,11 @@
 // come with a lag that varies.
 const coldTolerance = 1500 * time.Millisecond
 
-// withColdOf returns the target with the end of the cold time that an earlier entry of the same incarnation
-// named, if it names about the same.
+// withColdOf returns the target with the end of the cold time that an earlier entry of the same incarnation named, if
+// its own is a little earlier. A later one may belong to a new cold time.
 func (t Target) withColdOf(old Target) Target {
-	if t.Started.Equal(old.Started) && !t.ColdUntil.IsZero() && t.ColdUntil.Sub(old.ColdUntil).Abs() < coldTolerance {
+	earlier := old.ColdUntil.Sub(t.ColdUntil)
+	if t.Started.Equal(old.Started) && !t.ColdUntil.IsZero() && earlier > 0 && earlier < coldTolerance {
 		t.ColdUntil = old.ColdUntil
 	}
 	return t
--- a/parts/registry/registry_test.go
+++ b/parts/registry/registry_test.go
@@ -97,3 +97,19 @@
 	_, listed = r.Target("left")
 	is.True(listed)
 }
+
+// TestTargetThatIsColdAgainStaysCold guards against a target that becomes cold again just as its cold time ends, and that
+// gets the requests of a warm one, while reports that differ by their lag alone must change nothing.
+func TestTargetThatIsColdAgainStaysCold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	cold := func(until time.Duration) registry.Target {
+		return registry.Target{ID: "a", Service: "s", State: registry.Ready, ColdUntil: now.Add(until)}
+	}
+	r := registry.Registry{}.With(cold(3 * time.Second))
+	is.Equal(len(r.With(cold(2900*time.Millisecond)).Cold("s", now.Add(2950*time.Millisecond))), 1) // a report with less lag
+	r = r.With(cold(4 * time.Second))
+	is.Equal(len(r.Cold("s", now.Add(3500*time.Millisecond))), 1)
+	r = r.With(registry.Target{ID: "a", Service: "s", State: registry.Ready})
+	is.Equal(r.ColdCount(now), 0)
+}
