Log and count the retries that entries send and withhold, by cause

Three hypotheses of the incident (a restart that grants the reserve anew, a reserve divided by a fixed number, uncounted repeats) could not be told apart: only the end of a request was logged, with its number of attempts. Each retry that is due now leaves the line "retry decided" with its cause, whether it was sent and what is left, and counts in camphormill_retries_sent_total or camphormill_retries_withheld_total. camphormill_retry_tokens and camphormill_entries_known show what an entry may send and how many it knows of. camphormill explain says that the budget withheld a retry. No decision changes.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -155,7 +155,7 @@
 		}
 		reason, _ := l.Fields["reason"].(string)
 		if cause, ok := causeByReason[reason]; ok {
-			return cause + explainBreaks(lines)
+			return cause + explainBreaks(lines) + explainWithheldRetry(lines)
 		}
 		status, _ := l.Fields["status"].(float64)
 		const serverErrors = 500
@@ -167,6 +167,16 @@
 	return "it has not ended in these logs"
 }
 
+// explainWithheldRetry says why the last retry that was due was not sent, or returns "" if none was withheld.
+func explainWithheldRetry(lines []Line) string {
+	for _, l := range slices.Backward(lines) {
+		if sent, ok := l.Fields["sent"].(bool); ok && l.Message == "retry decided" && !sent {
+			return fmt.Sprintf("; a retry was due (%v), and the retry budget of its service withheld it", l.Fields["cause"])
+		}
+	}
+	return ""
+}
+
 // explainFraming explains the values of the log field "framing".
 var explainFraming = map[string]string{
 	"length": "with a length", "chunks": "in chunks", "connection": "that ends with its connection",
--- a/camphormill/explain/explain_test.go
+++ b/camphormill/explain/explain_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// TestExplanationSaysThatRetryWasWithheld guards against a verdict that blames only the target for a request whose
+// retry the budget withheld.
+func TestExplanationSaysThatRetryWasWithheld(t *testing.T) {
+	is := is.New(t)
+	const log = `{"level":"warn","daemon":"e1","part":"relay","request":"d1","service":"s","cause":"target_refused","sent":false,"tokens":0.2,"time":"2026-06-01T00:00:01Z","message":"retry decided"}
+{"level":"warn","daemon":"e1","part":"relay","request":"d1","target":"t2","attempts":1,"status":503,"reason":"target_refused","time":"2026-06-01T00:00:01Z","message":"request ended"}
+`
+	lines, _, err := explain.Read(strings.NewReader(log), "d1")
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(explain.WriteReport(&out, "d1", lines))
+	is.True(strings.Contains(out.String(), "it did not run; a retry was due (target_refused), and the retry budget of its service withheld it"))
+}
+
 func TestNoLinesOfRequest(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -162,6 +162,7 @@
 	})
 	s.metrics.set.NewGauge(`camphormill_targets_cold`, func() float64 { return float64(s.view.Targets().ColdCount(time.Now())) })
 	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
+	s.metrics.set.NewGauge(`camphormill_entries_known`, func() float64 { return float64(len(s.mesh.Known(mesh.RoleEntry)) + 1) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Life: s.life, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
@@ -180,7 +181,7 @@
 	s.relay = relay.New(relay.Config{
 		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
 		MaxProofAge: s.maxProofAge(), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
-		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
+		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnRetry: s.metrics.countRetry, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
 	return nil
 }
--- a/entryd/frontend/observer.go
+++ b/entryd/frontend/observer.go
@@ -58,6 +58,16 @@
 	o.set.GetOrCreateHistogram(fmt.Sprintf(`camphormill_request_seconds{organisation=%q}`, organisation)).Update(r.Duration.Seconds())
 }
 
+// countRetry counts a retry that was due, by its cause and by whether the retry budget withheld it.
+func (o *observer) countRetry(r relay.Retry) {
+	name := "camphormill_retries_withheld_total"
+	if r.Sent {
+		name = "camphormill_retries_sent_total"
+	}
+	o.set.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,cause=%q}`, name, r.Service, r.Cause)).Inc()
+	o.set.GetOrCreateGauge(fmt.Sprintf(`camphormill_retry_tokens{service=%q}`, r.Service), nil).Set(r.Tokens)
+}
+
 // countTargetDeath counts a request whose target died while it ran the request.
 func (o *observer) countTargetDeath(service string) {
 	o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_target_deaths_total{service=%q}`, service)).Inc()
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if rl.movable(c) {
-		rl.config.Slots.setCancel(grant, func() bool { return !c.unresumable.Load() && rl.cancelForMove(c.service.Name, cancel) })
+		rl.config.Slots.setCancel(grant, func() bool { return !c.unresumable.Load() && rl.cancelForMove(c, cancel) })
 	}
 	rl.loads.requestStarted(t.ID)
 	defer rl.loads.requestEnded(t.ID)
@@ -100,10 +100,8 @@
 
 // cancelForMove cancels an attempt whose request is moved. A move costs one retry of the
 // service's budget; if the budget is spent, the attempt continues and false is returned.
-func (rl *Relay) cancelForMove(service string, cancel context.CancelCauseFunc) bool {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	if !rl.retryBudget(service).Withdraw() {
+func (rl *Relay) cancelForMove(c *call, cancel context.CancelCauseFunc) bool {
+	if !rl.withdrawRetry(c.service.Name, c.info.AttemptID, causeMoved) {
 		return false
 	}
 	cancel(errMoved)
@@ -156,7 +154,7 @@
 	}
 	if a.StatusCode >= http.StatusInternalServerError {
 		rl.loads.recordServerError(rl.config.Now(), t.ID)
-		if c.route.Repeat == routes.Idempotent && c.attempts < c.route.MaxAttempts && rl.mayRetry(c, result{sent: true, mayHaveRun: true}) {
+		if c.route.Repeat == routes.Idempotent && c.attempts < c.route.MaxAttempts && rl.mayRetry(c, result{sent: true, mayHaveRun: true, refusal: refusal{reason: causeServerError}}) {
 			rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", t.ID).Int("status", a.StatusCode).Msg("target answered with a server error; retrying at another target")
 			c.failedTargets = append(c.failedTargets, t.ID)
 			next, grant, refused := rl.selectTarget(ctx, c)
--- a/entryd/relay/harness_test.go
+++ b/entryd/relay/harness_test.go
@@ -176,7 +176,7 @@
 		Slots:    e.slots,
 		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now}),
-		OnStrike: func(quarantine.Strike) {}, Dial: net.DialTimeout, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
+		OnStrike: func(quarantine.Strike) {}, Dial: net.DialTimeout, OnTargetDeath: func(string) {}, OnRetry: func(relay.Retry) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
 	}
 	configure(&config)
 	e.relay = relay.New(config)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -68,6 +68,8 @@
 	// ShareParts sends what this relay knows of prompt parts to the other entries. If query is
 	// set, they answer with what they know of the same parts. It must not block.
 	ShareParts func(records []quarantine.PartRecord, query bool)
+	// OnRetry is called for each retry that was due.
+	OnRetry func(r Retry)
 	// OnTargetDeath is called for each request whose target died while it ran the request.
 	OnTargetDeath func(service string)
 	// Dial opens the connection that tells whether a target lives.
@@ -185,16 +187,6 @@
 	return rl.forward(ctx, c)
 }
 
-// retryBudget returns the retry budget of a service. The caller holds the lock.
-func (rl *Relay) retryBudget(service string) *limit.RetryBudget {
-	b, ok := rl.retryBudgets[service]
-	if !ok {
-		b = limit.NewRetryBudgetWithMax(rl.config.RetryReserve)
-		rl.retryBudgets[service] = b
-	}
-	return b
-}
-
 // refuse sends an error response of the relay itself, with Retry-After in seconds, rounded
 // up to hundredths.
 func (rl *Relay) refuse(c *call, f refusal) {
@@ -296,11 +288,9 @@
 		return true // the last target did not receive the request, so the retry costs no budget
 	}
 	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	if rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes {
-		return false
-	}
-	return rl.retryBudget(c.service.Name).Withdraw()
+	quarantined := rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes
+	rl.mu.Unlock()
+	return !quarantined && rl.withdrawRetry(c.service.Name, c.info.AttemptID, r.refusal.reason)
 }
 
 // selectTarget asks the group's leader for a slot. If the service has no group, the leader
--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -35,6 +35,8 @@
 	// Match tells whether a response belongs to a request. Responses to earlier requests on the
 	// connection are skipped. Nil stands for targets of which each response belongs to the request before it.
 	Match func(request *http.Request, response *http.Response) Match
+	// Dial opens a connection; nil opens a TCP connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now returns the time by which IdleTimeout and Request.MaxIdle are measured.
 	Now func() time.Time
 }
@@ -336,8 +338,11 @@
 		}
 		_ = conn.Close()
 	}
-	dialer := net.Dialer{Timeout: c.config.ConnectTimeout, Deadline: r.Deadline, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
+	dial := c.config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: c.config.ConnectTimeout, Deadline: r.Deadline, KeepAlive: -1}).DialContext
+	}
+	raw, err := dial(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/parts/limit/budget.go
+++ b/parts/limit/budget.go
@@ -33,6 +33,9 @@
 	return true
 }
 
+// Tokens returns the retries that may be sent now.
+func (b *RetryBudget) Tokens() float64 { return b.tokens }
+
 // NewRetryBudgetWithMax returns a full budget that holds at most maxTokens retries.
 func NewRetryBudgetWithMax(maxTokens float64) *RetryBudget {
 	return &RetryBudget{maxTokens: maxTokens, tokens: maxTokens}
