Keep the retries of all entries together within their limit, across restarts

Cause: an allowance of the whole fleet was held as a full bucket by each process. Each start of an entry granted it anew, and it was divided by a fixed 20, whatever the number of entries: 694 retries at once for 71 entries and 694 more for a restart of all, where the reserve is 391. The class: a bound of the fleet that each process grants itself.

Why it works: in any window an entry sends at most what it had saved plus what it earns. A first attempt earns half of the ratio, and what is saved of that is at most the other half of the entry's own first attempts of the window before, which the limit counts too; summed over entries that is the ratio. The reserve is divided by the entries that may be running (heard within two hours, or learned of lately: it does not shrink in a cut), an entry starts with a tenth of its part and none before it knows the number, and saved, refilled and two starts stay below the part. TestRetryBudgetsKeepLimitTogether checks this on random fleets, TestMemberCountDoesNotShrinkDuringCut the number of entries.

A retry is now withdrawn when it is sent, so one that finds no place costs nothing.

The project's own protocol had the same cause, ten retries per process, and its reroutes from busy targets weren't counted: it uses the same budget, with a reserve of 200 for all entries; without a retry left a request waits at the busy target. Target daemons send no request twice. The tests' settings give the reserve of the fleet in place of an entry's part; a relay of a test starts with 5 retries as before.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -19,6 +19,7 @@
 	"camphormill.dev/entryd/peers"
 	"camphormill.dev/entryd/pool"
 	"camphormill.dev/parts/daemon"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/kernel"
 	"camphormill.dev/parts/link"
 	"camphormill.dev/parts/membership"
@@ -172,6 +173,8 @@
 		Signer:              reservation.Signer{Keys: settings.DecodeKeys(s.ReservationKeys)},
 		ReservationValidity: time.Duration(s.ReservationWindow),
 		Now:                 time.Now,
+		SteadyClock:         freshness.Now,
+		EntryCount:          kernel.Get[*peers.Peers](k, servicePeers).KnownCount,
 		Preset:              kernel.Get[*preset.Store](k, serviceStore).ActivePreset,
 		Claimer:             dispatch.Claimer{Claim: claimer.Claim, Replace: claimer.Replace},
 		BroadcastStrike:     kernel.Get[*peers.Peers](k, servicePeers).BroadcastStrike,
--- a/entryd/dispatch/dispatch.go
+++ b/entryd/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"camphormill.dev/entryd/pool"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/preset"
 	"camphormill.dev/parts/quarantine"
@@ -25,10 +26,17 @@
 // not run twice has the bound maxAttempts+maxReroutes instead; see mayRebind.
 const maxAttempts = 4
 
-// maxReroutes bounds how often a request is rerouted from a busy target. The busy
-// target did no work, so a reroute does not count as a retry.
+// maxReroutes bounds how often a request is rerouted from a busy target. A reroute costs a retry: without one, the
+// request waits at the busy target instead.
 const maxReroutes = 2
 
+// The retries of all entries in any retryWindow are at most the preset's RetryShare of the first attempts, plus
+// fleetRetryReserve.
+const (
+	retryWindow       = 10 * time.Second
+	fleetRetryReserve = 200
+)
+
 // defaultRetryAfter is the retry-after sent to a caller when no better estimate is
 // available.
 const defaultRetryAfter = time.Second
@@ -60,7 +68,9 @@
 	Signer              reservation.Signer
 	ReservationValidity time.Duration // how long a reservation is valid
 	Now                 func() time.Time
-	Preset              func() preset.Preset // returns the preset in force
+	SteadyClock         func() freshness.Instant // of the retry budget; runs on while the host is suspended
+	EntryCount          func() int               // how many entries may be running; 0 if it is not known
+	Preset              func() preset.Preset     // returns the preset in force
 	Claimer             Claimer
 	// BroadcastStrike sends a strike, the record that a target died while it ran a request,
 	// to the peers and waits for them, within a bound, before it returns.
@@ -82,11 +92,11 @@
 	suspects map[string]int // number of running requests that have a strike, by target
 }
 
-// New returns a Dispatcher with a full retry budget and no strikes.
+// New returns a Dispatcher that has just started, without strikes.
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
 		config:   c,
-		budget:   limit.NewRetryBudget(),
+		budget:   limit.NewRetryBudget(limit.RetryLimit{Reserve: fleetRetryReserve, Window: retryWindow}, c.SteadyClock()),
 		strikes:  quarantine.NewList(),
 		parts:    quarantine.NewPartList(),
 		suspects: map[string]int{},
@@ -143,8 +153,8 @@
 	}
 }
 
-// admit refuses a quarantined request. For any other request it adds the
-// preset's RetryShare, a fraction of one retry, to the retry budget and returns the
+// admit refuses a quarantined request. Any other request counts as a first attempt in the retry budget, whose
+// ratio is the preset's RetryShare. admit returns the
 // request's fingerprint, which identifies its organisation, path and content in strikes.
 func (d *Dispatcher) admit(r Request) (uint64, *contract.Failure) {
 	fingerprint := quarantine.Fingerprint(r.Organisation, r.ServiceName+" "+r.Method+" "+r.Path, r.Body)
@@ -158,7 +168,8 @@
 	if until, refused := d.parts.Refused(now, partsOf(r)); refused {
 		return 0, partFailure(until)
 	}
-	d.budget.Deposit(share)
+	d.budget.SetRatio(share)
+	d.budget.Deposit(d.config.SteadyClock())
 	return fingerprint, nil
 }
 
@@ -171,7 +182,14 @@
 func (d *Dispatcher) takeRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Withdraw()
+	return d.budget.Withdraw(d.config.SteadyClock(), d.config.EntryCount())
+}
+
+// retryAvailable reports whether the budget allows a retry now.
+func (d *Dispatcher) retryAvailable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Tokens(d.config.SteadyClock(), d.config.EntryCount()) >= 1
 }
 
 // pick chooses a target that is not in tried. A request that has a strike is not sent to a
@@ -197,10 +215,10 @@
 	return query
 }
 
-// mayReroute reports whether a busy target should refuse the request so that it is
-// rerouted: an untried target seems to have a free slot.
+// mayReroute reports whether a busy target should refuse the request so that it is rerouted: an untried target seems to
+// have a free slot, and the budget allows a retry.
 func (d *Dispatcher) mayReroute(r Request, reroutes int, tried map[string]bool) bool {
-	return reroutes < maxReroutes && d.config.Pool.AnyFreeSlot(d.config.Routing, d.query(r, tried))
+	return reroutes < maxReroutes && d.config.Pool.AnyFreeSlot(d.config.Routing, d.query(r, tried)) && d.retryAvailable()
 }
 
 // noTargetFailure returns the failure for a request that no target can take: the entry is
--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -42,7 +42,6 @@
 		}
 		if isBusy(result.Answer) {
 			run.reroutes++
-			continue
 		}
 		if !retryIsFree(result.Failure) && !d.takeRetry() {
 			return result
--- a/entryd/dispatch/reserved.go
+++ b/entryd/dispatch/reserved.go
@@ -118,6 +118,9 @@
 		tried[result.Target] = true
 		if isBusy(result.Answer) {
 			reroutes++
+			if !d.takeRetry() {
+				return result
+			}
 			continue
 		}
 		if !d.mayRebind(ctx, result, attempt) {
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -22,6 +22,7 @@
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/kernel"
+	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/mapswitch"
 	"camphormill.dev/parts/mesh"
 	"camphormill.dev/parts/quarantine"
@@ -51,9 +52,8 @@
 	// proofAgeShare is the share of the bounds on revoked keys and on evacuated zones that the age of the
 	// routes' freshness proof may use. The rest is for the request to reach its target.
 	proofAgeShare = 0.75
-	// retryReserveShare is the share of the fleet's retry reserve that the known entries
-	// use, because more entries than the known ones may be running.
-	retryReserveShare = 0.5
+	// introductionTime is how long a starting entry waits for the hosts that others tell of.
+	introductionTime = 5 * time.Second
 	// knowledgeFanout is the number of entries that tell a starting one what they know.
 	knowledgeFanout = 8
 	// maxStrikesSent bounds the strikes against whole requests that it is told.
@@ -84,13 +84,11 @@
 	// SendOrder passes an order of a group's leader to an engine and returns its result. An
 	// error counts as no answer of the engine.
 	SendOrder       func(ctx context.Context, o mesh.Order) (mapswitch.Result, error)
-	RevocationBound time.Duration // how long a revoked key may still be accepted
-	EvacuationBound time.Duration // how long targets of an evacuated zone may still get requests; 0: no bound
-	ColdOverage     float64       // factor of the published rate that a cold target takes for a second; 0: not known
-	StopTimeout     time.Duration // how long a planned stop may take
-	RetryShare      float64       // retries allowed per request, in the fleet
-	RetryReserve    float64       // retry reserve of the whole fleet, in retries
-	EntryCount      int           // number of entries that share the retry reserve
+	RevocationBound time.Duration    // how long a revoked key may still be accepted
+	EvacuationBound time.Duration    // how long targets of an evacuated zone may still get requests; 0: no bound
+	ColdOverage     float64          // factor of the published rate that a cold target takes for a second; 0: not known
+	StopTimeout     time.Duration    // how long a planned stop may take
+	RetryLimit      limit.RetryLimit // of all entries together, for each service
 	Log             zerolog.Logger
 }
 
@@ -98,6 +96,7 @@
 type Server struct {
 	config        Config
 	life          freshness.Life
+	startedAt     freshness.Instant
 	mesh          *mesh.Mesh
 	view          *storeview.View
 	slots         *relay.SlotClient
@@ -113,7 +112,7 @@
 // RegisterServices registers the services of an entry with the kernel.
 func RegisterServices(k *kernel.Kernel, c Config) {
 	set := metrics.NewSet()
-	s := &Server{config: c, life: freshness.NewLife(), metrics: newObserver(set)}
+	s := &Server{config: c, life: freshness.NewLife(), startedAt: freshness.Now(), metrics: newObserver(set)}
 	k.Register(kernel.Service{Name: "mesh", Start: func(context.Context, *kernel.Kernel) (any, error) { return s, s.build() }})
 	registerLoop := func(name string, run func(ctx context.Context)) {
 		k.Register(kernel.Loop(name, []string{"mesh"}, func(ctx context.Context, _ *kernel.Kernel) { run(ctx) }))
@@ -162,7 +161,7 @@
 	})
 	s.metrics.set.NewGauge(`camphormill_targets_cold`, func() float64 { return float64(s.view.Targets().ColdCount(time.Now())) })
 	s.metrics.set.NewGauge(`camphormill_targets_limited`, func() float64 { return float64(s.limits.Count()) })
-	s.metrics.set.NewGauge(`camphormill_entries_known`, func() float64 { return float64(len(s.mesh.Known(mesh.RoleEntry)) + 1) })
+	s.metrics.set.NewGauge(`camphormill_retry_budget_entries`, func() float64 { return float64(s.entryCount()) })
 	s.metrics.set.NewGauge(`camphormill_target_connections_opened`, func() float64 { return float64(s.client.ConnectionsOpened()) })
 	s.view = storeview.New(storeview.Config{
 		Store: c.Store, Mesh: s.mesh, SteadyClock: freshness.Now, Life: s.life, Now: time.Now, Log: daemon.PartLogger(c.Log, "board"),
@@ -177,15 +176,24 @@
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
 		Match: c.MatchResponse, Now: time.Now,
 	})
-	reserve := retryReserveShare * c.RetryReserve / float64(max(c.EntryCount, 1))
 	s.relay = relay.New(relay.Config{
 		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
-		MaxProofAge: s.maxProofAge(), RetryShare: c.RetryShare / 2, RetryReserve: max(reserve, 1),
+		MaxProofAge: s.maxProofAge(), RetryLimit: c.RetryLimit, EntryCount: s.entryCount, SteadyClock: freshness.Now,
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnRetry: s.metrics.countRetry, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
 	return nil
 }
 
+// entryCount returns the number of entries that share the retry reserve, 0 if it is not known yet. If the list of hosts
+// can't be read, it is the number of those that the seeds and the hosts themselves told of.
+func (s *Server) entryCount() int {
+	count := s.mesh.MemberCount(mesh.RoleEntry)
+	if s.mesh.Joined() || (count > 1 && freshness.Now() > s.startedAt.Add(introductionTime)) {
+		return count
+	}
+	return 0
+}
+
 // handleMessage processes a message of another host. The expiry of a peer's strike is
 // computed by the local clock.
 func (s *Server) handleMessage(from mesh.Host, m mesh.Message) {
--- a/entryd/httpapi/httpapi_test.go
+++ b/entryd/httpapi/httpapi_test.go
@@ -21,6 +21,7 @@
 	"camphormill.dev/entryd/httpapi"
 	"camphormill.dev/entryd/pool"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/platform"
 	"camphormill.dev/parts/preset"
 	"camphormill.dev/parts/quarantine"
@@ -61,6 +62,7 @@
 		Addresses: func() []httpapi.Address { return []httpapi.Address{{URL: "http://127.0.0.1:7001", Zone: "a"}} },
 		Dispatcher: dispatch.New(dispatch.Config{
 			Pool: targets, Policy: routing.NewRoundRobin(), Routing: routing.PolicyConfig{Uint64N: func(uint64) uint64 { return 0 }}, Signer: signer, ReservationValidity: time.Minute, Now: time.Now,
+			SteadyClock: freshness.Now, EntryCount: func() int { return 1 },
 			Preset:          func() preset.Preset { return p },
 			BroadcastStrike: func(context.Context, quarantine.Strike) {},
 			ShareParts:      func(context.Context, []quarantine.PartRecord) []quarantine.PartRecord { return nil }, Logger: zerolog.Nop(),
--- a/entryd/relay/admit.go
+++ b/entryd/relay/admit.go
@@ -62,8 +62,8 @@
 	return rl.admitBody(c)
 }
 
-// admitBody reads the body and refuses a quarantined request. For any other request it
-// adds RetryShare to the retry budget of the service.
+// admitBody reads the body and refuses a quarantined request. Any other request counts as a first attempt in
+// the retry budget of its service.
 func (rl *Relay) admitBody(c *call) *refusal {
 	maxBytes := c.limits.BodyBytes
 	if maxBytes <= 0 {
@@ -89,6 +89,6 @@
 	if rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	}
-	rl.retryBudget(c.service.Name).Deposit(rl.config.RetryShare)
+	rl.retryBudget(c.service.Name).Deposit(rl.config.SteadyClock())
 	return nil
 }
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -35,7 +35,9 @@
 	moved      bool // the leader moved the request to another target
 	// quarantined is set if the request was not sent because of its prompt parts.
 	quarantined bool
-	refusal     refusal
+	// withheld is set if the request was not sent because the retry budget was spent meanwhile.
+	withheld bool
+	refusal  refusal
 }
 
 // errMoved is the cancellation cause of an attempt whose request continues at another
@@ -51,6 +53,9 @@
 	if refused := rl.startAttempt(c); refused != nil {
 		return result{quarantined: true, refusal: *refused}
 	}
+	if !rl.acquireRetry(c) {
+		return result{withheld: true}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if rl.movable(c) {
@@ -101,9 +106,10 @@
 // cancelForMove cancels an attempt whose request is moved. A move costs one retry of the
 // service's budget; if the budget is spent, the attempt continues and false is returned.
 func (rl *Relay) cancelForMove(c *call, cancel context.CancelCauseFunc) bool {
-	if !rl.withdrawRetry(c.service.Name, c.info.AttemptID, causeMoved) {
+	if !rl.withdrawRetry(c, causeMoved) {
 		return false
 	}
+	c.holdsRetry.Store(true)
 	cancel(errMoved)
 	return true
 }
@@ -113,6 +119,9 @@
 func (rl *Relay) handleNoResponse(ctx context.Context, c *call, t registry.Target, err error) result {
 	sent := httpclient.WasSent(err)
 	rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", t.ID).Bool("sent", sent).Err(err).Msg("attempt got no response")
+	if !sent && c.attempts > 0 {
+		c.holdsRetry.Store(true)
+	}
 	r := result{sent: sent, mayHaveRun: sent, refusal: refusal{http.StatusServiceUnavailable, "target_unreached", defaultRetryAfter}}
 	if sent {
 		c.attempts++
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"camphormill.dev/entryd/storeview"
 	"camphormill.dev/parts/daemon"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/mesh"
@@ -57,11 +58,12 @@
 	// the routes were last known to be in force. Requests are refused while the proof is
 	// older, so that a revoked key does not stay valid longer.
 	MaxProofAge time.Duration
-	// RetryShare is the fraction of a retry that each request earns, and RetryReserve is
-	// the capacity of each service's retry budget. Both are this entry's part of the
-	// fleet's limits.
-	RetryShare   float64
-	RetryReserve float64
+	// RetryLimit bounds the retries of all entries together, for each service. EntryCount returns how many
+	// entries may be running, 0 as long as that is not known.
+	RetryLimit limit.RetryLimit
+	EntryCount func() int
+	// SteadyClock is the clock of the retry budgets. It runs on while the host is suspended.
+	SteadyClock func() freshness.Instant
 	// OnStrike is called with each strike that this relay records, to notify the peers that
 	// a request killed a target.
 	OnStrike func(s quarantine.Strike)
@@ -95,8 +97,9 @@
 
 // Relay is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Relay struct {
-	config Config
-	loads  *loadTracker
+	config    Config
+	startedAt freshness.Instant
+	loads     *loadTracker
 
 	mu            sync.Mutex
 	retryBudgets  map[string]*limit.RetryBudget
@@ -107,9 +110,9 @@
 	responseTimes responseTimes
 }
 
-// New returns a relay with full retry budgets and no strikes.
+// New returns a relay that has just started, without strikes.
 func New(c Config) *Relay {
-	return &Relay{config: c, loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
+	return &Relay{config: c, startedAt: c.SteadyClock(), loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
 }
 
 // MergeStrike adds a strike reported by a peer. Its end must be a time of the local clock.
@@ -156,10 +159,13 @@
 	attempts      int       // as in Outcome
 	mayHaveRun    bool      // a target may have run the request
 	failedTargets []string  // IDs of targets that should not be selected again
-	outcome       Outcome
-	targetID      string             // ID of the target of the latest attempt
-	framing       httpclient.Framing // of the latest response; empty if there was none
-	breaks        []responseBreak    // responses that ended early, in order
+	retryCause    string    // why the next attempt is a retry, as in Retry
+	// holdsRetry is set while a retry has been withdrawn for the request and not been sent. Moves set it too.
+	holdsRetry atomic.Bool
+	outcome    Outcome
+	targetID   string             // ID of the target of the latest attempt
+	framing    httpclient.Framing // of the latest response; empty if there was none
+	breaks     []responseBreak    // responses that ended early, in order
 }
 
 // ServeHTTP relays one request. It aborts the connection when the response ended early.
@@ -204,6 +210,7 @@
 // forward sends the request to targets until one has answered or no retry is allowed. It
 // reports whether the response ended early.
 func (rl *Relay) forward(ctx context.Context, c *call) bool {
+	defer rl.returnRetry(c)
 	var lastRefusal refusal
 	for {
 		target, grant, refused := rl.selectTarget(ctx, c)
@@ -212,7 +219,7 @@
 			break
 		}
 		result := rl.attempt(ctx, c, target, grant)
-		if result.moved { // cancelForMove has withdrawn the retry from the budget
+		if result.moved { // the request holds a retry
 			if next, ok := rl.readyTargetAt(c, rl.config.Slots.currentEngine(grant)); ok {
 				c.failedTargets = append(c.failedTargets, target.ID)
 				target = next
@@ -223,6 +230,9 @@
 		if result.answered {
 			return result.broken
 		}
+		if result.withheld {
+			break
+		}
 		lastRefusal = result.refusal
 		c.failedTargets = append(c.failedTargets, target.ID)
 		if rl.ended(ctx, c) || !rl.mayRetry(c, result) {
@@ -266,8 +276,8 @@
 	return false
 }
 
-// mayRetry reports whether the request may be sent to another target. If the last target
-// may have received the request, a retry is withdrawn from the service's budget.
+// mayRetry reports whether the request may be sent to another target. If the last target may have received the
+// request, the service's budget must allow a retry, which is withdrawn when the request is sent.
 func (rl *Relay) mayRetry(c *call, r result) bool {
 	if r.quarantined {
 		return false
@@ -290,7 +300,8 @@
 	rl.mu.Lock()
 	quarantined := rl.strikes.Strikes(rl.config.Now(), c.fingerprint) >= quarantineStrikes
 	rl.mu.Unlock()
-	return !quarantined && rl.withdrawRetry(c.service.Name, c.info.AttemptID, r.refusal.reason)
+	c.retryCause = r.refusal.reason
+	return !quarantined && rl.retryAvailable(c)
 }
 
 // selectTarget asks the group's leader for a slot. If the service has no group, the leader
--- a/entryd/relay/retries.go
+++ b/entryd/relay/retries.go
@@ -16,28 +16,68 @@
 	causeMoved       = "moved"        // the leader of the group moved the request
 )
 
-// withdrawRetry withdraws a retry of a request from the budget of its service, and reports whether
-// the budget allowed it.
-func (rl *Relay) withdrawRetry(service, request, cause string) bool {
+// acquireRetry must be called right before a request is sent. If a target may have received the request before, a retry
+// is withdrawn from the budget of its service, unless the request holds one. It reports whether the request may be sent.
+func (rl *Relay) acquireRetry(c *call) bool {
+	if c.attempts == 0 || c.holdsRetry.CompareAndSwap(true, false) {
+		return true
+	}
+	return rl.withdrawRetry(c, c.retryCause)
+}
+
+// retryAvailable reports whether the budget of the request's service allows a retry now.
+func (rl *Relay) retryAvailable(c *call) bool {
+	if c.holdsRetry.Load() {
+		return true
+	}
+	rl.mu.Lock()
+	tokens := rl.retryBudget(c.service.Name).Tokens(rl.config.SteadyClock(), rl.config.EntryCount())
+	rl.mu.Unlock()
+	if tokens >= 1 {
+		return true
+	}
+	rl.reportRetry(c, Retry{Service: c.service.Name, Cause: c.retryCause, Tokens: tokens})
+	return false
+}
+
+// withdrawRetry withdraws a retry from the budget of the request's service, and reports whether the budget
+// allowed it.
+func (rl *Relay) withdrawRetry(c *call, cause string) bool {
+	now, entries := rl.config.SteadyClock(), rl.config.EntryCount()
 	rl.mu.Lock()
-	budget := rl.retryBudget(service)
-	r := Retry{Service: service, Cause: cause, Sent: budget.Withdraw(), Tokens: budget.Tokens()}
+	budget := rl.retryBudget(c.service.Name)
+	r := Retry{Service: c.service.Name, Cause: cause, Sent: budget.Withdraw(now, entries), Tokens: budget.Tokens(now, entries)}
 	rl.mu.Unlock()
+	rl.reportRetry(c, r)
+	return r.Sent
+}
+
+// returnRetry gives back the retry that the request holds, if any.
+func (rl *Relay) returnRetry(c *call) {
+	if !c.holdsRetry.CompareAndSwap(true, false) {
+		return
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.retryBudget(c.service.Name).Return()
+}
+
+// reportRetry logs and counts a retry that was due.
+func (rl *Relay) reportRetry(c *call, r Retry) {
 	event := rl.config.Log.Info()
 	if !r.Sent {
 		event = rl.config.Log.Warn()
 	}
-	event.Str("request", request).Str("service", service).Str("cause", cause).Bool("sent", r.Sent).Float64("tokens", r.Tokens).
-		Msg("retry decided")
+	event.Str("request", c.info.AttemptID).Str("service", r.Service).Str("cause", r.Cause).Bool("sent", r.Sent).
+		Float64("tokens", r.Tokens).Int("entries", rl.config.EntryCount()).Msg("retry decided")
 	rl.config.OnRetry(r)
-	return r.Sent
 }
 
 // retryBudget returns the retry budget of a service. The caller holds the lock.
 func (rl *Relay) retryBudget(service string) *limit.RetryBudget {
 	b, ok := rl.retryBudgets[service]
 	if !ok {
-		b = limit.NewRetryBudgetWithMax(rl.config.RetryReserve)
+		b = limit.NewRetryBudget(rl.config.RetryLimit, rl.startedAt)
 		rl.retryBudgets[service] = b
 	}
 	return b
--- a/millload/overload/overload.go
+++ b/millload/overload/overload.go
@@ -11,6 +11,7 @@
 	"camphormill.dev/millload/experiment"
 	"camphormill.dev/parts/admission"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/limit"
 )
 
@@ -82,14 +83,25 @@
 	deadline int // in ticks
 }
 
+// The limit of retries, beside the experiment's retry share.
+const (
+	retryReserve = 25
+	retryWindow  = 10 * time.Second
+)
+
 func newSimulation(s Settings, naive bool) *simulation {
 	return &simulation{
 		settings: s, naive: naive, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), now: time.Unix(0, 0),
-		queue: admission.NewQueue(s.Capacity), budget: limit.NewRetryBudget(),
+		queue: admission.NewQueue(s.Capacity), budget: limit.NewRetryBudget(limit.RetryLimit{Ratio: s.RetryShare, Reserve: retryReserve, Window: retryWindow}, 0),
 		ends: map[int]int{}, retryAt: map[int]int{}, queued: map[string]request{}, served: make([]int, s.Seconds+1),
 	}
 }
 
+// clock returns the simulated time for the retry budget.
+func (sim *simulation) clock() freshness.Instant {
+	return freshness.Instant(sim.now.Sub(time.Unix(0, 0)))
+}
+
 // goodput returns the mean goodput from one second to another, as a share of the
 // capacity.
 func (sim *simulation) goodput(from, to int) float64 {
@@ -106,7 +118,7 @@
 		sim.now = time.Unix(0, 0).Add(time.Duration(tick) * time.Millisecond)
 		sim.release(tick)
 		for range sim.arrivals(tick) {
-			sim.budget.Deposit(sim.settings.RetryShare)
+			sim.budget.Deposit(sim.clock())
 			sim.offer(tick)
 		}
 		for range sim.retryAt[tick] {
@@ -163,7 +175,7 @@
 // retry schedules a retry by the entry at a random time within the next TimeoutMS if its
 // budget allows one. Otherwise the request is given up.
 func (sim *simulation) retry(tick int) {
-	if sim.budget.Withdraw() {
+	if sim.budget.Withdraw(sim.clock(), 1) {
 		sim.retryAt[tick+1+sim.rng.IntN(sim.settings.TimeoutMS)]++
 	}
 }
--- a/parts/mesh/join.go
+++ b/parts/mesh/join.go
@@ -75,6 +75,7 @@
 	for _, h := range hosts {
 		m.addHost(h, false)
 	}
+	m.joined.Store(true)
 	m.config.Log.Info().Int("hosts", len(hosts)).Msg("joined the fleet")
 	return true
 }
--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -87,6 +87,7 @@
 	config  Config
 	socket  *Socket
 	dropped atomic.Int64
+	joined  atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -95,7 +96,8 @@
 type peer struct {
 	host         Host
 	address      netip.AddrPort
-	lastReceived time.Time // newest message from the host
+	learnedAt    time.Time
+	lastReceived time.Time // newest message from the host; zero if there was none
 	alive        bool
 	heartbeat    Heartbeat // newest heartbeat
 }
@@ -193,7 +195,7 @@
 	}
 	p, known := m.peers[h.Name]
 	if !known {
-		p = &peer{}
+		p = &peer{learnedAt: m.config.Now()}
 		m.peers[h.Name] = p
 	}
 	p.host, p.address = h, to
@@ -241,6 +243,9 @@
 // Dropped returns the number of datagrams that the kernel refused to send.
 func (m *Mesh) Dropped() int64 { return m.dropped.Load() }
 
+// Joined reports whether this daemon has registered and has read the list of hosts.
+func (m *Mesh) Joined() bool { return m.joined.Load() }
+
 // Self returns the record of this daemon.
 func (m *Mesh) Self() Host { return m.config.Self }
 
@@ -265,6 +270,36 @@
 	})
 }
 
+const (
+	// memberTime is how long a silent host counts as a member of the fleet. It may be cut off and run on.
+	memberTime = 2 * time.Hour
+	// newcomerTime is how long a host that only others have told of counts as a member. The directory also
+	// lists hosts that are gone for good.
+	newcomerTime = 10 * time.Minute
+)
+
+// MemberCount returns the number of hosts of a role that may be running, this one included. It does not shrink while
+// hosts are cut off or restart.
+func (m *Mesh) MemberCount(role Role) int {
+	now := m.config.Now()
+	count := 0
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		until := p.learnedAt.Add(newcomerTime)
+		if !p.lastReceived.IsZero() {
+			until = p.lastReceived.Add(memberTime)
+		}
+		if p.host.Role == role && now.Before(until) {
+			count++
+		}
+	}
+	if m.config.Self.Role == role {
+		count++
+	}
+	return count
+}
+
 // LastHeartbeat returns the newest heartbeat of a host, or false if none has arrived.
 func (m *Mesh) LastHeartbeat(name string) (Heartbeat, bool) {
 	m.mu.Lock()
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -16,6 +16,7 @@
 	"camphormill.dev/entryd/dispatch"
 	"camphormill.dev/entryd/pool"
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/link"
 	"camphormill.dev/parts/platform"
 	"camphormill.dev/parts/preset"
@@ -255,6 +256,8 @@
 	e.pool.SetHosts(f.hosts)
 	e.dispatcher = dispatch.New(dispatch.Config{
 		Zone: "a", Pool: e.pool, Signer: f.signer, ReservationValidity: 5 * time.Minute, Now: time.Now,
+		SteadyClock:     func() freshness.Instant { return freshness.Instant(time.Now().UnixNano()) },
+		EntryCount:      func() int { return len(f.entries) },
 		Policy:          routing.NewScored(routing.PolicyConfig{Uint64N: f.random.uint64N}),
 		Routing:         routing.PolicyConfig{Uint64N: f.random.uint64N},
 		Preset:          func() preset.Preset { return f.preset },
