Close a connection on which a response to another request does not end

A response to another request is skipped, up to 1 MiB. TestEndlessLateResponseFails failed before: the target sent its 1 GiB. A longer response is now an error, which closes the connection.

--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -198,10 +198,13 @@
 		if match == MatchesRequest || (match == MatchesNone && !conn.used) {
 			return response, match == MatchesRequest, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, false, err
 		}
-		_ = response.Body.Close()
+		if n > maxSkippedBytes { // closing the body would read on to its end
+			return nil, false, errors.Errorf("a response to another request exceeds %d bytes; the connection is closed", maxSkippedBytes)
+		}
 	}
 	return nil, false, errors.New("the target sent no response to this request, only informational ones or responses to others; the connection is closed")
 }
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -304,6 +304,29 @@
 	}
 }
 
+// TestEndlessLateResponseFails guards against reading a response to another request, which is to be skipped, for as long as its
+// target sends.
+func TestEndlessLateResponseFails(t *testing.T) {
+	is := is.New(t)
+	for _, framing := range []string{"", "Content-Length: 999999999999\r\n"} {
+		ended := make(chan int64, 1)
+		address := startTarget(t, func(conn net.Conn, _ int) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: other\r\n%s\r\n", framing)
+			block, sent := []byte(strings.Repeat("x", 64<<10)), int64(0)
+			for sent < 1<<30 {
+				n, err := conn.Write(block)
+				if sent += int64(n); err != nil {
+					break
+				}
+			}
+			ended <- sent
+		})
+		_, err := fetch(t, newClient(), newRequest(address, "a"))
+		is.True(httpclient.WasSent(err))
+		is.True(<-ended < 32<<20) // the kernel's buffers included
+	}
+}
+
 // TestResponseEndsWithConnection covers responses with neither a length nor chunks: the end of the
 // connection ends them, and a reset cuts them off.
 func TestResponseEndsWithConnection(t *testing.T) {
