Bound what the target daemon keeps of an answer of its engine

The answer of the engine to /v1/loads was decoded without a limit, so a faulty engine that sends without end fills the daemon's memory, and all requests of its host end with it. Now 8 MiB are read, many times the loads of 64 layers of 256 experts.

--- a/targetd/group/engine_http.go
+++ b/targetd/group/engine_http.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,9 @@
 	"camphormill.dev/parts/expertmap"
 )
 
+// maxAnswerBytes bounds an answer of the engine, of which the loads of all experts are the longest.
+const maxAnswerBytes = 8 << 20
+
 // NewHTTPEngine returns the Engine that is served at the base URL. Its calls have no timeout but
 // that of their ctx, and fail if the engine is unreachable or does not answer with a 2xx status.
 func NewHTTPEngine(baseURL string) Engine {
@@ -72,5 +76,5 @@
 	if result == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(result), "group: decoding the engine's answer failed")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(result), "group: decoding the engine's answer failed")
 }
