Bound the answer that an entry collects for a caller without a stream

On the project's own protocol an entry collected the tokens of a draft without a limit, so a faulty engine that emits tokens until the deadline fills the memory of the entry. An answer of more than 8 MiB now ends its run, with too_large and an unknown outcome. The test's targets send frames in batches, as engines do.

--- a/entryd/httpapi/completions.go
+++ b/entryd/httpapi/completions.go
@@ -109,10 +109,26 @@
 	return xxhash.Sum64String(organisation + "\x00" + prompt)
 }
 
-// completeWhole collects all tokens and writes them in one answer.
+// maxWholeBytes bounds the text of an answer that is collected. A faulty engine may send tokens without end.
+const maxWholeBytes = 8 << 20
+
+// completeWhole collects all tokens and writes them in one answer. It ends a run whose answer exceeds maxWholeBytes.
 func (s *Server) completeWhole(ctx context.Context, w http.ResponseWriter, request dispatch.Request) dispatch.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var text strings.Builder
-	result := s.config.Dispatcher.RunRepeatable(ctx, request, func(token string) { text.WriteString(token) })
+	tooLarge := false
+	result := s.config.Dispatcher.RunRepeatable(ctx, request, func(token string) {
+		if tooLarge = tooLarge || text.Len()+len(token) > maxWholeBytes; tooLarge {
+			cancel()
+			return
+		}
+		text.WriteString(token)
+	})
+	if tooLarge {
+		result.Answer = contract.UnknownAnswer(contract.NewFailure(contract.KindTooLarge,
+			"the answer exceeds the size limit; the request was run", "request a shorter answer, or a stream"))
+	}
 	if result.Outcome == contract.OutcomeDone && result.Status == http.StatusOK {
 		answer := completionResponse{Model: request.ServiceName, Choices: []completionChoice{{Text: text.String()}}}
 		result.Body, _ = json.Marshal(answer) // strings always encode
--- a/entryd/httpapi/stream_test.go
+++ b/entryd/httpapi/stream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,8 +41,10 @@
 				return nil, err
 			}
 			frames, answer := s(call)
-			if err := peer.Notify(ctx, contract.MethodFrames, frames); err != nil {
-				return nil, err
+			for batch := range slices.Chunk(frames, 100) {
+				if err := peer.Notify(ctx, contract.MethodFrames, batch); err != nil {
+					return nil, err
+				}
 			}
 			return answer, nil
 		}},
@@ -192,3 +195,35 @@
 	is.NoErr(err)
 	is.Equal(strings.Count(body, `"text":"w`), 4)
 }
+
+// TestEndlessDraftIsNotKept guards against an entry that collects the tokens of a faulty engine without end for a caller that
+// doesn't take a stream.
+func TestEndlessDraftIsNotKept(t *testing.T) {
+	is := is.New(t)
+	endless := func(call contract.Call) ([]contract.Frame, contract.Answer) {
+		var frames []contract.Frame
+		for n := range 4000 {
+			frames = append(frames, contract.Frame{Attempt: call.Attempt, Sequence: n, Token: strings.Repeat("w", 4<<10)})
+		}
+		return frames, contract.Answer{Outcome: contract.OutcomeDone, Status: http.StatusOK, Frames: len(frames)}
+	}
+	server := startDrafts(t, endless)
+	status, body := 0, ""
+	for range 100 { // until the entry has links to its targets
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"p"}`))
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer key-of-muscat")
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		raw, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		if status, body = response.StatusCode, string(raw); status != http.StatusServiceUnavailable && status != http.StatusNotFound {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(status >= http.StatusInternalServerError || status == http.StatusRequestEntityTooLarge)
+	is.True(len(body) < 1<<20)
+	is.True(strings.Contains(body, "size limit"))
+}
