--- a/entryd/relay/endless_test.go
+++ b/entryd/relay/endless_test.go
@@ -78,3 +78,46 @@
 	is.True(err != nil)
 	is.True(sent.Load() < 128<<20)
 }
+
+// TestEndlessBytesAreNotKept guards against an entry that reads, and keeps, bytes of a faulty target without end: such that are
+// no response, in the head, between responses, or where the framing or an event of a body is due.
+func TestEndlessBytesAreNotKept(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Type: text/event-stream\r\n"
+	for name, test := range map[string]struct{ begin, repeated string }{
+		"status line":   {"HTTP/1.1 200 ", "x"},
+		"no response":   {"", "\x00\x01\x02"},
+		"empty lines":   {"", "\r\n"},
+		"header":        {"HTTP/1.1 200 OK\r\nId: a1\r\nX: ", "x"},
+		"header lines":  {"HTTP/1.1 200 OK\r\nId: a1\r\n", "X: x\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk size":    {"HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk":         {"HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer":       {"HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+		"event":         {stream + "\r\nid: 1\ndata: ", "x"},
+		"chunked event": {stream + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			route := streamRoute(1)
+			route.Timeout = 20 * time.Second
+			ended := make(chan int64, 1)
+			e := start(t, route, respondRaw("t0", func(conn net.Conn, _ string) {
+				sent := int64(0)
+				block := []byte(test.begin)
+				for sent < 1<<30 {
+					n, err := conn.Write(block)
+					if sent += int64(n); err != nil {
+						break
+					}
+					block = []byte(strings.Repeat(test.repeated, 64<<10/len(test.repeated)))
+				}
+				ended <- sent
+			}))
+			startedAt := time.Now()
+			status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+			is.True(err != nil || status == http.StatusBadGateway)
+			is.True(time.Since(startedAt) < 5*time.Second)
+			is.True(<-ended < 32<<20) // what the entry and both socket buffers have taken
+		})
+	}
+}
--- a/targetd/service/service_test.go
+++ b/targetd/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -200,3 +201,45 @@
 		})
 	}
 }
+
+// TestAnswerCutInsideHeadIsNotWhole guards against an empty answer, passed on as whole, of a service that closed its connection
+// in the middle of the head.
+func TestAnswerCutInsideHeadIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	for _, framing := range []string{"", "Content-Length: 5\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"} {
+		head := "HTTP/1.1 200 OK\r\n" + framing + "\r\n"
+		var length atomic.Int64
+		service := New(startRawService(t, false, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, head[:length.Load()]) }))
+		for length.Store(1); length.Load() < int64(len(head)); length.Add(1) {
+			answer := service.Work(t.Context(), contract.Call{Method: "POST", Path: "/"}, nil)
+			is.Equal(answer.Outcome, contract.OutcomeUnknown)
+		}
+	}
+}
+
+// TestEndlessAnswerIsNotKept guards against a target daemon that keeps the bytes of a faulty service without end.
+func TestEndlessAnswerIsNotKept(t *testing.T) {
+	for name, begin := range map[string]string{
+		"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX: ", "body": "HTTP/1.1 200 OK\r\n\r\n",
+		"chunk size": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan int64, 1)
+			url := startRawService(t, false, func(conn *net.TCPConn) {
+				block, sent := []byte(begin), int64(0)
+				for sent < 1<<30 {
+					n, err := conn.Write(block)
+					if sent += int64(n); err != nil {
+						break
+					}
+					block = bytes.Repeat([]byte("x"), 64<<10)
+				}
+				ended <- sent
+			})
+			answer := New(url).Work(t.Context(), contract.Call{Method: "POST", Path: "/"}, nil)
+			is.Equal(answer.Outcome, contract.OutcomeUnknown)
+			is.True(<-ended < 64<<20) // what the daemon and both socket buffers have taken
+		})
+	}
+}
