Answer the requests that a stop ends, instead of only closing their connections

Reported by other operators: at the end of a planned stop's grace requests were cut with no answer, among them such that may not be repeated. It happens here too, for requests of targets that stay silent: those that were running when the stop began, and those accepted in its first 2.5 s, also on connections that callers keep open. TestStopAnswersRequestsOfSilentTargets failed before with an unexpected EOF.

At the same moment as before, 300 ms before the process has to end, running requests are now ended first: 504 ("stopped") if a target may have run the request, 503 with a retry-after if none had it. Streams that have begun are cut off as before.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -49,6 +49,9 @@
 	// exitReserve is the part of the stop time left for the rest of the process when
 	// running requests are cut off.
 	exitReserve = 300 * time.Millisecond
+	// answerReserve is the part of exitReserve in which the requests that are ended get their answers.
+	answerReserve      = 150 * time.Millisecond
+	answerPollInterval = 5 * time.Millisecond
 	// proofAgeShare is the share of the bounds on revoked keys and on evacuated zones that the age of the
 	// routes' freshness proof may use. The rest is for the request to reach its target.
 	proofAgeShare = 0.75
@@ -381,7 +384,9 @@
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		if err := server.Stop(ctx); err != nil {
-			s.config.Log.Warn().Err(err).Int64("requests", s.inFlight.Load()).Msg("stop time is over; cutting off running requests")
+			s.config.Log.Warn().Err(err).Int64("requests", s.inFlight.Load()).Msg("stop time is over; ending running requests")
+			s.relay.EndRequests()
+			s.awaitAnswers(time.Now().Add(answerReserve))
 			return server.Close()
 		}
 		return nil
@@ -389,6 +394,13 @@
 	return kernel.Service{Name: "callers", Needs: []string{"mesh", "ready", "directory", "board", "messages", "beats"}, Start: start, Stop: stop}
 }
 
+// awaitAnswers waits until no request runs, or until the deadline.
+func (s *Server) awaitAnswers(deadline time.Time) {
+	for s.inFlight.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(answerPollInterval)
+	}
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.lastRequestAt.Store(int64(freshness.Now()))
 	s.inFlight.Add(1)
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -236,6 +236,50 @@
 	is.NoErr(<-stopped)
 }
 
+// TestStopAnswersRequestsOfSilentTargets guards against requests that a stop ends with a closed connection and no answer,
+// because their target is silent: requests that came before the stop, and such that came late on connections that callers
+// keep open.
+func TestStopAnswersRequestsOfSilentTargets(t *testing.T) {
+	is := is.New(t)
+	c := newConfig(t, 9*time.Second)
+	k := kernel.New()
+	frontend.RegisterServices(k, c)
+	is.NoErr(k.Start(context.Background()))
+	for i := 0; i < 300; i++ {
+		if addresses, _ := get(c.DirectoryAddress, ""); addresses != "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	const callers = 12
+	errs := make(chan error, callers)
+	for i := range callers { // the first before the stop, the last one 5.4 s into it
+		conn, err := net.Dial("tcp", c.CallersAddress)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		time.AfterFunc(time.Duration(i)*500*time.Millisecond, func() {
+			_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+				errs <- nil // closed before the request
+				return
+			}
+			_ = conn.SetReadDeadline(time.Time{})
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+			if err == nil {
+				_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+			errs <- err
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	startedAt := time.Now()
+	is.NoErr(k.Stop(context.Background()))
+	is.True(time.Since(startedAt) < c.StopTimeout)
+	for range callers {
+		is.NoErr(<-errs)
+	}
+}
+
 // callUntilRefused sends requests, as callers do who go on using an entry that stops, on one connection for as
 // long as the entry allows, until no connection is accepted. It returns the number of responses and of requests
 // that the entry has read and not answered: their connection ends regularly, not by a reset.
--- a/entryd/relay/draining.go
+++ b/entryd/relay/draining.go
@@ -69,6 +69,13 @@
 	rl.config.Limits.StartDrain()
 }
 
+// EndRequests ends all running requests. Those of which the caller has got nothing yet are answered: their targets may
+// have run them, unless they were not sent.
+func (rl *Relay) EndRequests() { rl.endRequests() }
+
+// requestsEnded reports whether EndRequests has been called.
+func (rl *Relay) requestsEnded() bool { return rl.ending.Err() != nil }
+
 // draining reports whether the entry is about to stop.
 func (rl *Relay) draining() bool {
 	rl.mu.Lock()
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -100,6 +100,9 @@
 	config    Config
 	startedAt freshness.Instant
 	loads     *loadTracker
+	// ending is done when EndRequests has been called.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	mu            sync.Mutex
 	retryBudgets  map[string]*limit.RetryBudget
@@ -112,7 +115,8 @@
 
 // New returns a relay that has just started, without strikes.
 func New(c Config) *Relay {
-	return &Relay{config: c, startedAt: c.SteadyClock(), loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
+	ending, endRequests := context.WithCancel(context.Background())
+	return &Relay{config: c, startedAt: c.SteadyClock(), ending: ending, endRequests: endRequests, loads: newLoadTracker(), retryBudgets: map[string]*limit.RetryBudget{}, strikes: quarantine.NewList(), parts: quarantine.NewPartList()}
 }
 
 // MergeStrike adds a strike reported by a peer. Its end must be a time of the local clock.
@@ -190,6 +194,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(rl.ending, cancel)()
 	return rl.forward(ctx, c)
 }
 
@@ -262,6 +267,10 @@
 		return true
 	}
 	switch {
+	case c.mayHaveRun && rl.requestsEnded():
+		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "stopped"}
+	case rl.requestsEnded():
+		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
 	case c.mayHaveRun && rl.ended(ctx, c):
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case c.mayHaveRun && !c.route.MayRepeat():
