--- a/entryd/relay/retries.go
+++ b/entryd/relay/retries.go
@@ -8,6 +8,7 @@
 	Cause   string  // why a retry was due: the reason that the request would have ended with, or one of the constants below
 	Sent    bool    // false if the retry budget withheld it
 	Tokens  float64 // retries left in the budget of the service
+	Entries int     // that share the reserve; 0 if their number is not known
 }
 
 // Causes of retries that are no reasons of ended requests.
@@ -30,13 +31,14 @@
 	if c.holdsRetry.Load() {
 		return true
 	}
+	now, entries := rl.config.SteadyClock(), rl.config.EntryCount()
 	rl.mu.Lock()
-	tokens := rl.retryBudget(c.service.Name).Tokens(rl.config.SteadyClock(), rl.config.EntryCount())
+	tokens := rl.retryBudget(c.service.Name).Tokens(now, entries)
 	rl.mu.Unlock()
 	if tokens >= 1 {
 		return true
 	}
-	rl.reportRetry(c, Retry{Service: c.service.Name, Cause: c.retryCause, Tokens: tokens})
+	rl.reportRetry(c, Retry{Service: c.service.Name, Cause: c.retryCause, Tokens: tokens, Entries: entries})
 	return false
 }
 
@@ -46,7 +48,7 @@
 	now, entries := rl.config.SteadyClock(), rl.config.EntryCount()
 	rl.mu.Lock()
 	budget := rl.retryBudget(c.service.Name)
-	r := Retry{Service: c.service.Name, Cause: cause, Sent: budget.Withdraw(now, entries), Tokens: budget.Tokens(now, entries)}
+	r := Retry{Service: c.service.Name, Cause: cause, Sent: budget.Withdraw(now, entries), Tokens: budget.Tokens(now, entries), Entries: entries}
 	rl.mu.Unlock()
 	rl.reportRetry(c, r)
 	return r.Sent
@@ -69,7 +71,7 @@
 		event = rl.config.Log.Warn()
 	}
 	event.Str("request", c.info.AttemptID).Str("service", r.Service).Str("cause", r.Cause).Bool("sent", r.Sent).
-		Float64("tokens", r.Tokens).Int("entries", rl.config.EntryCount()).Msg("retry decided")
+		Float64("tokens", r.Tokens).Int("entries", r.Entries).Msg("retry decided")
 	rl.config.OnRetry(r)
 }
 
--- a/parts/limit/fleet_test.go
+++ b/parts/limit/fleet_test.go
@@ -71,3 +71,13 @@
 	is.True(!b.Withdraw(now, 0))
 	is.True(b.Withdraw(now, 100)) // its part of the reserve
 }
+
+func BenchmarkRetryBudget(b *testing.B) {
+	budget := limit.NewRetryBudget(limit.RetryLimit{Ratio: 0.2, Reserve: 400, Window: 10 * time.Second}, 0)
+	b.ReportAllocs()
+	for n := range b.N {
+		now := freshness.Instant(time.Duration(n) * time.Millisecond)
+		budget.Deposit(now)
+		budget.Withdraw(now, 400)
+	}
+}
--- a/parts/mesh/members_test.go
+++ b/parts/mesh/members_test.go
@@ -71,3 +71,31 @@
 	elapsed.Store(int64(3 * time.Hour))
 	is.Equal(m.MemberCount(mesh.RoleEntry), 1)
 }
+
+func BenchmarkMemberCount(b *testing.B) {
+	m, err := mesh.Listen(mesh.Config{
+		Self: mesh.Host{Name: "e0", Role: mesh.RoleEntry}, Now: time.Now, Log: zerolog.Nop(),
+		Socket: &mesh.Socket{Send: func([]byte, netip.AddrPort) error { return nil }},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	m.Join(ctx, mesh.Directory{
+		Register: func(context.Context, mesh.Host) error { return nil },
+		Hosts: func(context.Context) (hosts []mesh.Host, _ error) {
+			cancel()
+			for i := range 7000 {
+				role := mesh.RoleTarget
+				if i < 400 {
+					role = mesh.RoleEntry
+				}
+				hosts = append(hosts, mesh.Host{Name: fmt.Sprint("h", i), Role: role, Address: fmt.Sprint("127.0.0.1:", 1000+i)})
+			}
+			return hosts, nil
+		},
+	})
+	for b.Loop() {
+		m.MemberCount(mesh.RoleEntry)
+	}
+}
--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -89,8 +89,15 @@
 	dropped atomic.Int64
 	joined  atomic.Bool
 
-	mu    sync.Mutex
-	peers map[string]*peer
+	mu      sync.Mutex
+	peers   map[string]*peer
+	members map[Role]memberCount // as last counted; cleared when a host is added
+}
+
+// memberCount is the result of MemberCount.
+type memberCount struct {
+	count      int
+	validUntil time.Time
 }
 
 type peer struct {
@@ -111,7 +118,7 @@
 			return nil, err
 		}
 	}
-	return &Mesh{config: c, socket: socket, peers: map[string]*peer{}}, nil
+	return &Mesh{config: c, socket: socket, peers: map[string]*peer{}, members: map[Role]memberCount{}}, nil
 }
 
 // Run receives messages and passes them to Config.Handle until ctx ends, which also
@@ -197,6 +204,7 @@
 	if !known {
 		p = &peer{learnedAt: m.config.Now()}
 		m.peers[h.Name] = p
+		clear(m.members)
 	}
 	p.host, p.address = h, to
 }
@@ -276,15 +284,20 @@
 	// newcomerTime is how long a host that only others have told of counts as a member. The directory also
 	// lists hosts that are gone for good.
 	newcomerTime = 10 * time.Minute
+	// memberCountTime is how long a count is used, since counting visits all hosts.
+	memberCountTime = 250 * time.Millisecond
 )
 
 // MemberCount returns the number of hosts of a role that may be running, this one included. It does not shrink while
 // hosts are cut off or restart.
 func (m *Mesh) MemberCount(role Role) int {
 	now := m.config.Now()
-	count := 0
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if known, ok := m.members[role]; ok && now.Before(known.validUntil) {
+		return known.count
+	}
+	count := 0
 	for _, p := range m.peers {
 		until := p.learnedAt.Add(newcomerTime)
 		if !p.lastReceived.IsZero() {
@@ -297,6 +310,7 @@
 	if m.config.Self.Role == role {
 		count++
 	}
+	m.members[role] = memberCount{count: count, validUntil: now.Add(memberCountTime)}
 	return count
 }
 
