--- a/entryd/relay/retryfleet_test.go
+++ b/entryd/relay/retryfleet_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -316,8 +317,9 @@
 // restart, most of them twice, a quarter joins, and a third does not learn of those.
 func (f *retryFleet) playRestarts(count int, perSecond float64, response string) {
 	random := rand.New(rand.NewPCG(1, uint64(count)))
-	running := count
-	stale, current := func() int { return count }, func() int { return running }
+	var running atomic.Int64
+	running.Store(int64(count))
+	stale, current := func() int { return count }, func() int { return int(running.Load()) }
 	known := func(i int) func() int {
 		if i%3 == 0 {
 			return stale
@@ -352,7 +354,7 @@
 			for range count / 4 {
 				entries = append(entries, f.newEntry(current))
 			}
-			running += count / 4
+			running.Add(int64(count / 4))
 		}
 		for due += rate * tick.Seconds(); due >= 1; due-- {
 			i := random.IntN(len(entries))
--- a/parts/limit/budget.go
+++ b/parts/limit/budget.go
@@ -17,21 +17,20 @@
 
 // Parts of a RetryLimit.
 const (
-	// earnedPart is the part of Ratio that each first attempt earns. The rest bounds the earned retries that an
-	// entry saves, as a share of its own first attempts of the last window.
+	// earnedPart is the part of Ratio that each first attempt earns. The rest bounds what an entry saves of the earned retries:
+	// that part of Ratio for each of its first attempts in the last window.
 	earnedPart = 0.5
-	// The reserve is divided equally among the entries. Each saves up to savedPart of its share and gets refillPart
-	// of it in a window. startPart is what an entry that starts has of it: less than an empty budget would need to
-	// serve the first callers, and little enough that every entry may start twice in a window. The rest is for entries
-	// that are not known yet, and for retries that arrive later than they were withdrawn.
-	savedPart  = 0.4
-	refillPart = 0.3
+	// The reserve is divided equally among the entries. An entry starts with startPart of its share, gets refillPart of it in
+	// each window and saves up to savedPart. Together, with a second start in the same window, they are below 1: the rest is
+	// for entries that are not known yet, and for retries that arrive a moment after they were withdrawn.
 	startPart  = 0.1
+	refillPart = 0.3
+	savedPart  = 0.4
 )
 
-// RetryBudget is the part of one entry in a RetryLimit. Entries need no message to keep the limit together: none
-// starts with more than a small part of its share of the reserve, so that a restart grants nothing anew, and
-// what an entry saves is bounded by first attempts that the limit counts too. It is not safe for concurrent use.
+// RetryBudget is the part of one entry in a RetryLimit. Entries keep the limit together without a message: what an entry
+// saves is bounded by first attempts that the limit counts too, and an entry that starts has saved nothing, so that a
+// restart grants no retry anew but the small startPart. It is not safe for concurrent use.
 type RetryBudget struct {
 	limit    RetryLimit
 	recent   windowCount // first attempts
