--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -110,21 +110,6 @@
 	return p.table.Live(p.config.Now(), membership.RoleEntry)
 }
 
-// KnownCount returns the number of entries that may be running, this one included: those in the host list and those
-// that gossip tells of. It does not shrink while entries are cut off or restart.
-func (p *Peers) KnownCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := map[string]bool{p.config.EntryName: true}
-	for name := range p.seeds {
-		known[name] = true
-	}
-	for _, r := range p.table.Live(p.config.Now(), membership.RoleEntry) {
-		known[r.Origin] = true
-	}
-	return len(known)
-}
-
 // Reachable returns the records of the live entries that answered the last call from
 // this one.
 func (p *Peers) Reachable() []membership.Record {
