Test the bound of a collected answer with a small limit

The limit is now in the configuration (8 MiB if it gives none) and the test uses 64 KiB. With the check taken out it fails at once: the caller gets the whole answer with status 200.

--- a/entryd/httpapi/completions.go
+++ b/entryd/httpapi/completions.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -109,17 +110,17 @@
 	return xxhash.Sum64String(organisation + "\x00" + prompt)
 }
 
-// maxWholeBytes bounds the text of an answer that is collected. A faulty engine may send tokens without end.
-const maxWholeBytes = 8 << 20
+// defaultMaxAnswerBytes is the default of Config.MaxAnswerBytes.
+const defaultMaxAnswerBytes = 8 << 20
 
-// completeWhole collects all tokens and writes them in one answer. It ends a run whose answer exceeds maxWholeBytes.
+// completeWhole collects all tokens and writes them in one answer. It ends a run whose answer exceeds MaxAnswerBytes.
 func (s *Server) completeWhole(ctx context.Context, w http.ResponseWriter, request dispatch.Request) dispatch.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var text strings.Builder
-	tooLarge := false
+	maxBytes, tooLarge := cmp.Or(s.config.MaxAnswerBytes, defaultMaxAnswerBytes), false
 	result := s.config.Dispatcher.RunRepeatable(ctx, request, func(token string) {
-		if tooLarge = tooLarge || text.Len()+len(token) > maxWholeBytes; tooLarge {
+		if tooLarge = tooLarge || text.Len()+len(token) > maxBytes; tooLarge {
 			cancel()
 			return
 		}
--- a/entryd/httpapi/httpapi.go
+++ b/entryd/httpapi/httpapi.go
@@ -68,6 +68,9 @@
 	// Observe is called at the end of each request that was passed to Dispatcher.
 	Observe func(organisation string, class contract.Class, outcome contract.Outcome, elapsed time.Duration)
 	Logger  zerolog.Logger
+	// MaxAnswerBytes bounds the text of an answer that is collected for a caller without a stream, since a faulty engine may
+	// send tokens without end. 0 is 8 MiB.
+	MaxAnswerBytes int
 }
 
 // Server serves the HTTP interface for callers. It is safe for concurrent use.
--- a/entryd/httpapi/httpapi_test.go
+++ b/entryd/httpapi/httpapi_test.go
@@ -71,6 +71,8 @@
 		LimitShare: func(string) float64 { return 1 },
 		Now:        time.Now,
 		Observe:    func(string, contract.Class, contract.Outcome, time.Duration) {},
+
+		MaxAnswerBytes: maxAnswerBytes,
 	}).Handler()
 }
 
--- a/entryd/httpapi/stream_test.go
+++ b/entryd/httpapi/stream_test.go
@@ -196,14 +196,17 @@
 	is.Equal(strings.Count(body, `"text":"w`), 4)
 }
 
+// maxAnswerBytes is the limit of answers in tests.
+const maxAnswerBytes = 64 << 10
+
 // TestEndlessDraftIsNotKept guards against an entry that collects the tokens of a faulty engine without end for a caller that
 // doesn't take a stream.
 func TestEndlessDraftIsNotKept(t *testing.T) {
 	is := is.New(t)
 	endless := func(call contract.Call) ([]contract.Frame, contract.Answer) {
 		var frames []contract.Frame
-		for n := range 4000 {
-			frames = append(frames, contract.Frame{Attempt: call.Attempt, Sequence: n, Token: strings.Repeat("w", 4<<10)})
+		for n := range 4 * maxAnswerBytes / 1024 {
+			frames = append(frames, contract.Frame{Attempt: call.Attempt, Sequence: n, Token: strings.Repeat("w", 1024)})
 		}
 		return frames, contract.Answer{Outcome: contract.OutcomeDone, Status: http.StatusOK, Frames: len(frames)}
 	}
@@ -224,6 +227,6 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.True(status >= http.StatusInternalServerError || status == http.StatusRequestEntityTooLarge)
-	is.True(len(body) < 1<<20)
+	is.True(len(body) < maxAnswerBytes)
 	is.True(strings.Contains(body, "size limit"))
 }
