--- a/entryd/command/settings.go
+++ b/entryd/command/settings.go
@@ -29,6 +29,9 @@
 	OperationsAddress string `json:"operations"` // address of /metrics, /healthz, /readyz, /v1/status
 	LogLevel          string `json:"log_level"`
 
+	MemoryMB       float64 `json:"memory_mb"`       // memory of the daemon in MiB
+	MaxDescriptors int     `json:"max_descriptors"` // descriptors that the daemon may have open; 0: the limit of the process
+
 	PlatformLog   string `json:"platform_log"`   // URL
 	PlatformHosts string `json:"platform_hosts"` // URL
 	Peers         []Peer `json:"peers"`
@@ -46,10 +49,14 @@
 	SubsetSize        int               `json:"subset_size"`        // number of links for each model or service
 }
 
+// defaultMemoryMB is the memory of a daemon whose settings don't say it.
+const defaultMemoryMB = 1024
+
 // Defaults returns the values of settings that are missing from the file.
 func Defaults() Settings {
 	return Settings{
 		LogLevel:          "info",
+		MemoryMB:          defaultMemoryMB,
 		Timeout:           settings.Duration(30 * time.Second),
 		AddressTTL:        settings.Duration(10 * time.Second),
 		ReservationWindow: settings.Duration(5 * time.Minute),
@@ -68,6 +75,8 @@
 	c.Address("callers", s.CallersAddress)
 	c.Address("link", s.LinkAddress)
 	c.Address("operations", s.OperationsAddress)
+	c.Require(s.MemoryMB > 0, "memory_mb", "not above zero", "set the memory of the daemon in MiB")
+	c.Require(s.MaxDescriptors >= 0, "max_descriptors", "below zero", "set the number of descriptors that the daemon may have open, or 0 for the limit of the process")
 	c.URL("public_url", s.PublicURL)
 	c.URL("platform_log", s.PlatformLog)
 	c.URL("platform_hosts", s.PlatformHosts)
--- a/targetd/command/settings.go
+++ b/targetd/command/settings.go
@@ -17,6 +17,9 @@
 	OperationsAddress string `json:"operations"` // listen address of /metrics, /healthz, /readyz
 	LogLevel          string `json:"log_level"`
 
+	MemoryMB       float64 `json:"memory_mb"`       // memory of the daemon in MiB
+	MaxDescriptors int     `json:"max_descriptors"` // descriptors that the daemon may have open; 0: the limit of the process
+
 	Kind        contract.WorkKind `json:"kind"`
 	ServiceName string            `json:"serves"`
 	Version     string            `json:"version"`
@@ -46,10 +49,14 @@
 	PlanInterval settings.Duration `json:"plan_every"`    // interval between two plans
 }
 
+// defaultMemoryMB is the memory of a daemon whose settings don't say it.
+const defaultMemoryMB = 1024
+
 // Defaults returns the settings for fields that the file omits.
 func Defaults() Settings {
 	return Settings{
 		LogLevel:             "info",
+		MemoryMB:             defaultMemoryMB,
 		Capacity:             16,
 		MaxReservations:      100_000,
 		MaxReservationWindow: settings.Duration(15 * time.Minute),
@@ -64,6 +71,8 @@
 	c.Name("version", s.Version)
 	c.Address("link", s.LinkAddress)
 	c.Address("operations", s.OperationsAddress)
+	c.Require(s.MemoryMB > 0, "memory_mb", "not above zero", "set the memory of the daemon in MiB")
+	c.Require(s.MaxDescriptors >= 0, "max_descriptors", "below zero", "set the number of descriptors that the daemon may have open, or 0 for the limit of the process")
 	c.URL("backend", s.Backend)
 	knownKind := s.Kind == contract.WorkDraft || s.Kind == contract.WorkService
 	c.Require(knownKind, "kind", "not known", `write "draft" or "service"`)
