Log when in a stop of its entry a request came, and why it was accepted

The hypotheses about streams that a stop breaks off differ in when the request came and in what let the entry accept it. "request ended" said neither. It now has into_stop (ms) and accepted_by (deadline, estimate, nothing) for requests that came during a stop, and camphormill explain puts them into its verdict. No decision changes.

Test: TestExplanationSaysWhenInStopRequestCame, which doesn't pass on the code before.

--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -155,7 +155,7 @@
 		}
 		reason, _ := l.Fields["reason"].(string)
 		if cause, ok := causeByReason[reason]; ok {
-			return cause + explainBreaks(lines) + explainWithheldRetry(lines)
+			return cause + explainStop(l) + explainBreaks(lines) + explainWithheldRetry(lines)
 		}
 		status, _ := l.Fields["status"].(float64)
 		const serverErrors = 500
@@ -167,6 +167,15 @@
 	return "it has not ended in these logs"
 }
 
+// explainStop says when in a stop of the entry the request came, or returns "" if it came before.
+func explainStop(l Line) string {
+	into, ok := l.Fields["into_stop"].(float64)
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("; it came %.0f ms into the stop of the entry (basis: %v)", into, l.Fields["accepted_by"])
+}
+
 // explainWithheldRetry says why the last retry that was due was not sent, or returns "" if none was withheld.
 func explainWithheldRetry(lines []Line) string {
 	for _, l := range slices.Backward(lines) {
--- a/camphormill/explain/explain_test.go
+++ b/camphormill/explain/explain_test.go
@@ -96,3 +96,16 @@
 		is.True(strings.Contains(out.String(), cause))
 	}
 }
+
+// TestExplanationSaysWhenInStopRequestCame guards against a verdict that doesn't tell a request that a stopping entry
+// accepted from one that was running when the stop began.
+func TestExplanationSaysWhenInStopRequestCame(t *testing.T) {
+	is := is.New(t)
+	const log = `{"level":"warn","daemon":"e1","part":"relay","request":"d1","target":"t2","attempts":1,"status":200,"reason":"stopped","into_stop":3120.5,"accepted_by":"estimate","time":"2026-06-01T00:00:01Z","message":"request ended"}
+`
+	lines, _, err := explain.Read(strings.NewReader(log), "d1")
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(explain.WriteReport(&out, "d1", lines))
+	is.True(strings.Contains(out.String(), "it may have run; it came 3120 ms into the stop of the entry (basis: estimate)"))
+}
--- a/entryd/relay/draining.go
+++ b/entryd/relay/draining.go
@@ -12,6 +12,7 @@
 
 // Drain tells until when a draining entry answers requests.
 type Drain struct {
+	StartedAt time.Time
 	// CutOff is when the entry closes all connections.
 	CutOff time.Time
 	// OnlyKnownFrom is the time from which the entry refuses requests of which it can't tell how long they
@@ -83,19 +84,35 @@
 	return rl.drain != nil
 }
 
+// stopBasis is what tells a draining entry that it may accept a request.
+type stopBasis string
+
+const (
+	byDeadline stopBasis = "deadline" // it ends before the entry stops
+	byEstimate stopBasis = "estimate" // responses of its route were fast enough lately
+	byNothing  stopBasis = "nothing"  // the stop has just begun
+)
+
 // outlastsStop reports whether the entry may stop before the response to a request that has just come is
 // complete.
 func (rl *Relay) outlastsStop(c *call) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	if rl.drain == nil || !c.deadline.After(rl.drain.CutOff) {
+	if rl.drain == nil {
 		return false
 	}
 	now := rl.config.Now()
+	c.intoStop = now.Sub(rl.drain.StartedAt)
+	if !c.deadline.After(rl.drain.CutOff) {
+		c.acceptedBy = byDeadline
+		return false
+	}
 	longest, known := rl.responseTimes.longest(now, c.route.Name, c.info.MaxOutputTokens)
 	if !known {
+		c.acceptedBy = byNothing
 		return !now.Before(rl.drain.OnlyKnownFrom)
 	}
+	c.acceptedBy = byEstimate
 	return now.Add(time.Duration(drainMargin * float64(longest))).After(rl.drain.CutOff)
 }
 
--- a/entryd/relay/draining_test.go
+++ b/entryd/relay/draining_test.go
@@ -30,7 +30,7 @@
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
 	now := time.Now()
-	e.relay.StartDrain(relay.Drain{CutOff: now.Add(time.Second), OnlyKnownFrom: now})
+	e.relay.StartDrain(relay.Drain{StartedAt: now, CutOff: now.Add(time.Second), OnlyKnownFrom: now})
 	for path, expected := range map[string]int{"/r/100": http.StatusOK, "/r/600": http.StatusServiceUnavailable, "/r/9223372036854775807": http.StatusServiceUnavailable} {
 		status, _, _, err := e.call(t, http.MethodPost, path, "key")
 		is.NoErr(err)
@@ -75,7 +75,7 @@
 				is.Equal(status, http.StatusOK)
 			}
 			now := time.Now()
-			e.relay.StartDrain(relay.Drain{CutOff: now.Add(test.cutOff), OnlyKnownFrom: now.Add(test.onlyKnown)})
+			e.relay.StartDrain(relay.Drain{StartedAt: now, CutOff: now.Add(test.cutOff), OnlyKnownFrom: now.Add(test.onlyKnown)})
 			status, header, _, err := e.call(t, http.MethodPost, "/r/x", "key")
 			is.NoErr(err)
 			is.Equal(status, test.status)
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -149,6 +149,8 @@
 	fingerprint   uint64
 	parts         []quarantine.PartID // shared parts of the prompt
 	routesVersion int64
+	intoStop      time.Duration // how long the entry had been stopping when the request came; 0 if it had not
+	acceptedBy    stopBasis     // empty if it came before the stop, or was refused before that was decided
 
 	writer      http.ResponseWriter
 	headSent    bool // the response header has been sent
@@ -405,7 +407,11 @@
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
 		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Str("framing", string(c.framing)).
 		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).Dur("sent", sentAfter).
-		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
+		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age)
+	if c.intoStop > 0 {
+		event.Dur("into_stop", c.intoStop).Str("accepted_by", string(c.acceptedBy))
+	}
+	event.Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
 }
 
