--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -33,6 +33,8 @@
 	// drainRetryAfter is the retry-after of a draining entry. It is short because another
 	// entry can serve the request.
 	drainRetryAfter = 10 * time.Millisecond
+	// noEntryRetryAfter is that of a draining entry which knows of no other that accepts callers.
+	noEntryRetryAfter = time.Second
 	// firstEventTime is the time an idle engine needs for the prompt and the first passes,
 	// up to the first event of a stream.
 	firstEventTime = 200 * time.Millisecond
@@ -149,6 +151,8 @@
 	fingerprint   uint64
 	parts         []quarantine.PartID // shared parts of the prompt
 	routesVersion int64
+	intoStop      time.Duration // how long the entry had been stopping when the request came; 0 if it had not
+	acceptedBy    stopBasis     // empty if it came before the stop, or was refused before that was decided
 
 	writer      http.ResponseWriter
 	headSent    bool // the response header has been sent
@@ -270,7 +274,7 @@
 	case c.mayHaveRun && rl.requestsEnded():
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "stopped"}
 	case rl.requestsEnded():
-		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
+		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", rl.leavingRetryAfter()}
 	case c.mayHaveRun && rl.ended(ctx, c):
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case c.mayHaveRun && !c.route.MayRepeat():
@@ -405,7 +409,11 @@
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
 		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Str("framing", string(c.framing)).
 		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).Dur("sent", sentAfter).
-		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
+		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age)
+	if c.intoStop > 0 {
+		event.Dur("into_stop", c.intoStop).Str("accepted_by", string(c.acceptedBy))
+	}
+	event.Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
 }
 
