Read bodies and hold responses within one budget of the process

What callers saw: an entry that grew beyond the memory of its machine under many bodies of legal size, and was ended.

Cause: a body was read whole before anything was decided, by doubling a buffer, with no bound over all requests and no time limit; a response was held likewise while its caller didn't read. The class: memory that grows with connections times bytes which only the sender bounds.

Why it works: bodies and held responses are read in blocks against the budget; the first 16 KiB are free, so that ordinary requests never wait for it. Without room, senders without progress for a second give way; else the request is refused as not run (503, reason no_memory, retry-after 1 s). A body over the limit that is announced is refused before it is read, one that doesn't come within the request's deadline gets 408 (body_late).

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -18,6 +18,7 @@
 
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
@@ -92,7 +93,9 @@
 	ColdOverage     float64          // factor of the published rate that a cold target takes for a second; 0: not known
 	StopTimeout     time.Duration    // how long a planned stop may take
 	RetryLimit      limit.RetryLimit // of all entries together, for each service
-	Log             zerolog.Logger
+	// Budget bounds what callers make the process hold.
+	Budget *bytebudget.Budget
+	Log    zerolog.Logger
 }
 
 // Server is the state of a running entry.
@@ -180,7 +183,7 @@
 		Match: c.MatchResponse, Now: time.Now,
 	})
 	s.relay = relay.New(relay.Config{
-		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
+		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Budget: c.Budget, Now: time.Now,
 		MaxProofAge: s.maxProofAge(), RetryLimit: c.RetryLimit, EntryCount: s.entryCount, SteadyClock: freshness.Now,
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnRetry: s.metrics.countRetry, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
--- a/entryd/relay/admit.go
+++ b/entryd/relay/admit.go
@@ -1,13 +1,17 @@
 package relay
 
 import (
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/quarantine"
+	"camphormill.dev/parts/routes"
 )
 
 // refusal is an error response of the relay itself.
@@ -65,19 +69,10 @@
 // admitBody reads the body and refuses a quarantined request. Any other request counts as a first attempt in
 // the retry budget of its service.
 func (rl *Relay) admitBody(c *call) *refusal {
-	maxBytes := c.limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = math.MaxInt32
-	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBytes+1))
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
-	}
-	if int64(len(body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	if refused := rl.readBody(c); refused != nil {
+		return refused
 	}
-	c.body = body
-	c.fingerprint = quarantine.Fingerprint(c.info.Key, c.request.Method+" "+c.request.RequestURI, body)
+	c.fingerprint = quarantine.Fingerprint(c.info.Key, c.request.Method+" "+c.request.RequestURI, c.body.Blocks()...)
 	for _, part := range c.info.SharedParts {
 		c.parts = append(c.parts, quarantine.NewPartID(c.service.Name, part))
 	}
@@ -92,3 +87,48 @@
 	rl.retryBudget(c.service.Name).Deposit(rl.config.SteadyClock())
 	return nil
 }
+
+// noRoomRetryAfter is the retry-after of a request for whose body there is no memory.
+const noRoomRetryAfter = time.Second
+
+// readBody reads the body until the request's deadline, within the budget of the process. A body that is too large, or
+// that has no room, is not read on, and its connection is closed.
+func (rl *Relay) readBody(c *call) *refusal {
+	announced := c.request.ContentLength
+	if announced == 0 {
+		return nil
+	}
+	maxBytes := c.limits.BodyBytes
+	if maxBytes <= 0 {
+		maxBytes = math.MaxInt32
+	}
+	connection := http.NewResponseController(c.writer)
+	_ = connection.SetReadDeadline(c.deadline) // fails only on a connection that is closed, or without deadlines
+	if announced < 0 || announced > bytebudget.FreeBytes {
+		c.bodyHold = rl.config.Budget.Open(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
+	}
+	body, err := bytebudget.ReadBody(c.request.Body, c.bodyHold, maxBytes, announced)
+	if err == nil {
+		c.body = body
+		return nil
+	}
+	c.bodyHold.Close()
+	c.writer.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, bytebudget.ErrTooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	case errors.Is(err, bytebudget.ErrFull):
+		return &refusal{http.StatusServiceUnavailable, "no_memory", noRoomRetryAfter}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusRequestTimeout, "body_late", defaultRetryAfter}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
+}
+
+// releaseBody forgets the body once no other attempt can need it.
+func (c *call) releaseBody() {
+	if c.route.Repeat != routes.Stream || !c.route.Resumable {
+		c.body = bytebudget.Body{}
+		c.bodyHold.Close()
+	}
+}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/registry"
 	"camphormill.dev/parts/routes"
@@ -154,12 +156,16 @@
 	if c.route.Repeat == routes.Stream && a.StatusCode < http.StatusMultipleChoices && isEventStream(a.Header) {
 		return rl.relayEvents(ctx, c, t, a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
-	if err == nil && len(body) < maxBufferedBody {
-		err = rl.checkEnd(ctx, t, a, body)
+	hold := rl.config.Budget.Open(func() {})
+	hold.Settle() // the target decides how fast its response comes, not the caller
+	defer hold.Close()
+	body, err := bytebudget.ReadPrefix(a.Body, hold, maxBufferedBody, a.ContentLength)
+	whole := err == io.EOF
+	if whole {
+		err = rl.checkEnd(ctx, t, a, body.Last(lastBytes))
 	}
 	if err != nil {
-		return rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(body)), err))
+		return rl.handleCutOff(ctx, c, t, newBodyBreak(a, body.Len(), err))
 	}
 	if a.StatusCode >= http.StatusInternalServerError {
 		rl.loads.recordServerError(rl.config.Now(), t.ID)
@@ -186,17 +192,29 @@
 			Msg("target answered as if it had not run the request, without saying so")
 		return result{sent: true, mayHaveRun: true, refusal: refusal{status: http.StatusBadGateway, reason: "unproven_refusal"}}
 	}
+	c.releaseBody()
 	rl.copyHeader(c, a)
-	if int64(len(body)) == maxBufferedBody {
-		return rl.relayRest(ctx, c, t, a, body)
+	connection := http.NewResponseController(c.writer)
+	hold.Unsettle(func() { _ = connection.SetWriteDeadline(time.Unix(1, 0)) })
+	if !whole {
+		return rl.relayRest(ctx, c, t, a, body, hold)
 	}
 	if a.ContentLength < 0 && a.Framing() != httpclient.FramedByLength {
-		c.writer.Header().Set("Content-Length", itoa(len(body)))
+		c.writer.Header().Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	}
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
-	_, err = c.writer.Write(body)
-	return result{answered: true, broken: err != nil}
+	return result{answered: true, broken: writeBody(c.writer, body) != nil}
+}
+
+// writeBody writes a body to the caller.
+func writeBody(w io.Writer, body bytebudget.Body) error {
+	for _, block := range body.Blocks() {
+		if _, err := w.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // saysNotRun reports whether callers take the status for a promise that the request did not run, and never
@@ -209,23 +227,25 @@
 	return false
 }
 
-// relayRest sends a response that is larger than maxBufferedBody, beginning with the part
-// read so far. It cuts off a response that is larger than maxResponseBody.
-func (rl *Relay) relayRest(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, prefix []byte) result {
+// relayRest sends a response that is larger than what may be held, beginning with the part
+// read so far, which it releases. It cuts off a response that is larger than maxResponseBody.
+func (rl *Relay) relayRest(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, prefix bytebudget.Body, hold *bytebudget.Hold) result {
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
-	if _, err := c.writer.Write(prefix); err != nil {
+	if writeBody(c.writer, prefix) != nil {
 		return result{answered: true, broken: true}
 	}
-	rest := int64(maxResponseBody - len(prefix))
-	body := &bodyReader{source: io.LimitReader(a.Body, rest+1), last: prefix[len(prefix)-lastBytes:]}
+	hold.Close()
+	sent := prefix.Len()
+	rest := maxResponseBody - sent
+	body := &bodyReader{source: io.LimitReader(a.Body, rest+1), last: prefix.Last(lastBytes)}
 	n, err := io.Copy(c.writer, body)
 	if body.err == nil && err == nil && n <= rest {
 		body.err = rl.checkEnd(ctx, t, a, body.last)
 		err = body.err
 	}
 	if body.err != nil {
-		r := rl.handleCutOff(ctx, c, t, newBodyBreak(a, int64(len(prefix))+n, body.err))
+		r := rl.handleCutOff(ctx, c, t, newBodyBreak(a, sent+n, body.err))
 		c.outcome.Reason = r.refusal.reason
 	}
 	if n > rest {
--- a/entryd/relay/harness_test.go
+++ b/entryd/relay/harness_test.go
@@ -20,6 +20,7 @@
 
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/limit"
@@ -176,6 +177,7 @@
 		Zone: "z", Protocol: testProtocol(), View: view, Now: time.Now, MaxProofAge: maxProofAge,
 		RetryLimit: limit.RetryLimit{Ratio: 0.2, Reserve: 50, Window: 10 * time.Second}, EntryCount: func() int { return 1 }, SteadyClock: freshness.Now,
 		Slots:    e.slots,
+		Budget:   bytebudget.ForProcess(0),
 		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: m, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now}),
 		OnStrike: func(quarantine.Strike) {}, Dial: net.DialTimeout, OnTargetDeath: func(string) {}, OnRetry: func(relay.Retry) {}, ShareParts: func([]quarantine.PartRecord, bool) {}, OnOutcome: func(relay.Outcome) {}, Log: zerolog.New(&e.logs),
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math"
@@ -16,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
@@ -55,7 +55,9 @@
 	Slots    *SlotClient
 	Limits   *Limits
 	Client   *httpclient.Client
-	Now      func() time.Time
+	// Budget bounds the bodies of requests and the responses that are held.
+	Budget *bytebudget.Budget
+	Now    func() time.Time
 	// MaxProofAge bounds the age of the routes' freshness proof, that is, the time since
 	// the routes were last known to be in force. Requests are refused while the proof is
 	// older, so that a revoked key does not stay valid longer.
@@ -144,7 +146,8 @@
 	priority      *routes.Priority // nil if the configuration calls for none
 	service       routes.Service
 	request       *http.Request
-	body          []byte
+	body          bytebudget.Body
+	bodyHold      *bytebudget.Hold // of the body; nil if it is not counted
 	startedAt     time.Time
 	deadline      time.Time
 	limits        routes.Limits
@@ -183,6 +186,7 @@
 	if rl.draining() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { c.bodyHold.Close() }()
 	broken := rl.serve(c)
 	rl.reportOutcome(c, broken)
 	if broken {
@@ -427,10 +431,10 @@
 	})
 	out := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(c.body)),
+		ContentLength: c.body.Len(),
 	}
-	if len(c.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	if c.body.Len() > 0 {
+		out.Body = io.NopCloser(c.body.Reader())
 	}
 	return out
 }
--- a/entryd/relay/retryfleet_test.go
+++ b/entryd/relay/retryfleet_test.go
@@ -23,6 +23,7 @@
 
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
 	"camphormill.dev/parts/limit"
@@ -109,7 +110,7 @@
 		Limits:   relay.NewLimits(relay.LimitsConfig{Mesh: f.mesh, Now: time.Now, Log: zerolog.Nop()}),
 		Client:   httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerAddress: 2, IdleTimeout: time.Second, Now: time.Now, Dial: f.dial}),
 		OnStrike: func(quarantine.Strike) {}, OnTargetDeath: func(string) {}, ShareParts: func([]quarantine.PartRecord, bool) {},
-		OnOutcome: func(relay.Outcome) {}, OnRetry: f.recordRetry, Log: zerolog.Nop(),
+		OnOutcome: func(relay.Outcome) {}, OnRetry: f.recordRetry, Log: zerolog.Nop(), Budget: bytebudget.ForProcess(0),
 		Dial: func(_, address string, _ time.Duration) (net.Conn, error) {
 			return f.dial(context.Background(), "tcp", address)
 		},
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -19,8 +19,6 @@
 // is complete.
 const maxEventBytes = 64 << 10
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // relayEvents sends a stream to the caller event by event. It sends only complete events,
 // so that another target can resume after the last one.
 func (rl *Relay) relayEvents(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer) result {
--- a/parts/bytebudget/bytebudget.go
+++ b/parts/bytebudget/bytebudget.go
@@ -157,6 +157,18 @@
 	delete(h.budget.holds, h)
 }
 
+// Unsettle records that the holder waits for its peer again, for instance for a caller to read: it gives way if there is no
+// progress. evict replaces that of Open.
+func (h *Hold) Unsettle(evict func()) {
+	now := h.budget.config.Now()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if !h.closed && !h.evicted {
+		h.evict, h.progressAt = evict, now
+		h.budget.holds[h] = struct{}{}
+	}
+}
+
 // Evicted reports whether the sender has given way. A nil hold never does.
 func (h *Hold) Evicted() bool {
 	if h == nil {
--- a/parts/quarantine/quarantine.go
+++ b/parts/quarantine/quarantine.go
@@ -23,14 +23,16 @@
 const maxFingerprints = 10000
 
 // Fingerprint returns a hash of the organisation, the model or service, and the body
-// of a request.
-func Fingerprint(organisation, modelOrService string, body []byte) uint64 {
+// of a request, whose blocks are given in order.
+func Fingerprint(organisation, modelOrService string, body ...[]byte) uint64 {
 	digest := xxhash.New()
 	digest.WriteString(organisation)
 	digest.Write([]byte{0})
 	digest.WriteString(modelOrService)
 	digest.Write([]byte{0})
-	digest.Write(body)
+	for _, block := range body {
+		digest.Write(block)
+	}
 	return digest.Sum64()
 }
 
