Accept a stream during a stop only if its deadline comes before the end of the stop

Cause: a stopping entry accepted streams by an estimate (the slowest response of the route lately), and in the first 2.5 s without any. An estimate is no bound: earlier streams were shorter than what their callers allowed, or the target has become slower since. What is not over at the end of the stop is then cut off, and a stream whose head has been sent can't end any other way.

Why it works: a stream is accepted only if its own deadline, which the entry enforces, comes before the cut-off; any other is refused at once as not run, for another entry to serve. A call may still be accepted by an estimate, since it gets an answer at the end of the stop. If no other entry accepts callers, the refusal says 1 s instead of 10 ms, so that callers don't spend their retries within a moment.

Tests: cases of TestDrainingEntryRefusesWhatItWouldCutOff that expected a stream to be accepted by an estimate or without one were wrong, as they are the fault; they stand for calls now, as strict as before, and each has a twin for streams that is refused. TestLongerResponsesTakeLonger is about the estimate and uses a call now. TestRefusalOfLastEntryNamesLaterReturn is new.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -380,7 +380,10 @@
 	stop := func(ctx context.Context) error {
 		startedAt := time.Now()
 		deadline := startedAt.Add(s.config.StopTimeout - exitReserve)
-		s.drain(ctx, relay.Drain{StartedAt: startedAt, CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime)})
+		s.drain(ctx, relay.Drain{
+			StartedAt: startedAt, CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime),
+			OthersReady: func() bool { return len(s.mesh.ReadyEntries()) > 0 },
+		})
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		if err := server.Stop(ctx); err != nil {
--- a/entryd/relay/admit.go
+++ b/entryd/relay/admit.go
@@ -57,7 +57,7 @@
 		c.deadline = c.startedAt.Add(timeout)
 	}
 	if rl.outlastsStop(c) {
-		return &refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
+		return &refusal{http.StatusServiceUnavailable, "leaving", rl.leavingRetryAfter()}
 	}
 	return rl.admitBody(c)
 }
--- a/entryd/relay/draining.go
+++ b/entryd/relay/draining.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"camphormill.dev/parts/routes"
+)
 
 const (
 	// durationWindow is how long the slowest response of a route is remembered, at least.
@@ -15,9 +19,11 @@
 	StartedAt time.Time
 	// CutOff is when the entry closes all connections.
 	CutOff time.Time
-	// OnlyKnownFrom is the time from which the entry refuses requests of which it can't tell how long they
+	// OnlyKnownFrom is the time from which the entry refuses calls of which it can't tell how long they
 	// take.
 	OnlyKnownFrom time.Time
+	// OthersReady reports whether another entry accepts callers; nil stands for yes.
+	OthersReady func() bool
 }
 
 // responseTimes remembers the slowest responses of each route, in time per token of the longest possible
@@ -94,7 +100,8 @@
 )
 
 // outlastsStop reports whether the entry may stop before the response to a request that has just come is
-// complete.
+// complete. An estimate is enough for a call, which has its answer also at the end of the stop, but not for a stream:
+// one that has begun can only be cut off then.
 func (rl *Relay) outlastsStop(c *call) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
@@ -107,6 +114,9 @@
 		c.acceptedBy = byDeadline
 		return false
 	}
+	if c.route.Repeat == routes.Stream {
+		return true
+	}
 	longest, known := rl.responseTimes.longest(now, c.route.Name, c.info.MaxOutputTokens)
 	if !known {
 		c.acceptedBy = byNothing
@@ -116,6 +126,18 @@
 	return now.Add(time.Duration(drainMargin * float64(longest))).After(rl.drain.CutOff)
 }
 
+// leavingRetryAfter returns the retry-after of a request that a draining entry refuses: at once if another entry can
+// serve it.
+func (rl *Relay) leavingRetryAfter() time.Duration {
+	rl.mu.Lock()
+	drain := rl.drain
+	rl.mu.Unlock()
+	if drain == nil || drain.OthersReady == nil || drain.OthersReady() {
+		return drainRetryAfter
+	}
+	return noEntryRetryAfter
+}
+
 // cutsOff reports whether the entry has begun to close the connections of running requests.
 func (rl *Relay) cutsOff() bool {
 	rl.mu.Lock()
--- a/entryd/relay/draining_test.go
+++ b/entryd/relay/draining_test.go
@@ -14,11 +14,11 @@
 	"camphormill.dev/parts/routes"
 )
 
-// TestLongerResponsesTakeLonger guards against a long stream that is accepted because short ones were complete
+// TestLongerResponsesTakeLonger guards against a long response that is accepted because short ones were complete
 // in time.
 func TestLongerResponsesTakeLonger(t *testing.T) {
 	is := is.New(t)
-	e := startConfigured(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 1}, routes.Service{Name: "s"}, func(c *relay.Config) {
+	e := startConfigured(t, routes.Route{Repeat: routes.AtMostOnce, MaxAttempts: 1}, routes.Service{Name: "s"}, func(c *relay.Config) {
 		read := c.Protocol.Read
 		c.Protocol.Read = func(r *http.Request) relay.RequestInfo {
 			info := read(r)
@@ -50,25 +50,35 @@
 // TestDrainingEntryRefusesWhatItWouldCutOff guards against an entry that accepts a request shortly before it
 // stops, passes it on and cuts it off, whatever its service is.
 func TestDrainingEntryRefusesWhatItWouldCutOff(t *testing.T) {
+	const call, stream = routes.AtMostOnce, routes.Stream
 	for name, test := range map[string]struct {
+		repeat    routes.RepeatPolicy
 		timeout   time.Duration // of the route; 0 if it has none
 		served    int           // requests before the entry drains
 		onlyKnown time.Duration // after the drain began
 		cutOff    time.Duration // after the drain began
 		status    int
 	}{
-		"sure to end":                    {time.Second, 0, 0, 2 * time.Second, http.StatusOK},
-		"may outlast the stop":           {time.Second, 0, 0, 800 * time.Millisecond, http.StatusServiceUnavailable},
-		"without a timeout":              {0, 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
-		"unknown, early":                 {time.Second, 0, time.Second, 800 * time.Millisecond, http.StatusOK},
-		"known to be short":              {0, 2, 0, 2 * time.Second, http.StatusOK},
-		"known to be too long":           {time.Second, 2, time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
-		"known to end just before":       {time.Second, 2, time.Second, 210 * time.Millisecond, http.StatusServiceUnavailable},
-		"a stream route without a group": {8 * time.Second, 0, 0, 4500 * time.Millisecond, http.StatusServiceUnavailable},
+		"sure to end":                          {call, time.Second, 0, 0, 2 * time.Second, http.StatusOK},
+		"may outlast the stop":                 {call, time.Second, 0, 0, 800 * time.Millisecond, http.StatusServiceUnavailable},
+		"without a timeout":                    {call, 0, 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
+		"unknown, early":                       {call, time.Second, 0, time.Second, 800 * time.Millisecond, http.StatusOK},
+		"known to be short":                    {call, 0, 2, 0, 2 * time.Second, http.StatusOK},
+		"known to be too long":                 {call, time.Second, 2, time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		"known to end just before":             {call, time.Second, 2, time.Second, 210 * time.Millisecond, http.StatusServiceUnavailable},
+		"stream, sure to end":                  {stream, time.Second, 0, 0, 2 * time.Second, http.StatusOK},
+		"stream, may outlast the stop":         {stream, time.Second, 0, 0, 800 * time.Millisecond, http.StatusServiceUnavailable},
+		"stream, without a timeout":            {stream, 0, 0, 0, 2 * time.Second, http.StatusServiceUnavailable},
+		"stream, unknown, early":               {stream, time.Second, 0, time.Second, 800 * time.Millisecond, http.StatusServiceUnavailable},
+		"stream, others were short":            {stream, 0, 2, 0, 2 * time.Second, http.StatusServiceUnavailable},
+		"stream, others were too long":         {stream, time.Second, 2, time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		"stream, others ended just before":     {stream, time.Second, 2, time.Second, 210 * time.Millisecond, http.StatusServiceUnavailable},
+		"a stream route without a group":       {stream, 8 * time.Second, 0, 0, 4500 * time.Millisecond, http.StatusServiceUnavailable},
+		"stream, timeout just behind the stop": {stream, 8 * time.Second, 2, time.Second, 7700 * time.Millisecond, http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 1, Timeout: test.timeout}, takes(200*time.Millisecond))
+			e := start(t, routes.Route{Repeat: test.repeat, MaxAttempts: 1, Timeout: test.timeout}, takes(200*time.Millisecond))
 			for range test.served {
 				status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
 				is.NoErr(err)
@@ -86,3 +96,18 @@
 		})
 	}
 }
+
+// TestRefusalOfLastEntryNamesLaterReturn guards against callers who are sent away for 10 ms, again and again, while no
+// other entry accepts callers.
+func TestRefusalOfLastEntryNamesLaterReturn(t *testing.T) {
+	for ready, expected := range map[bool]string{true: "0.01", false: "1"} {
+		is := is.New(t)
+		e := start(t, streamRoute(1), takes(0))
+		now := time.Now()
+		e.relay.StartDrain(relay.Drain{StartedAt: now, CutOff: now.Add(time.Second), OthersReady: func() bool { return ready }})
+		status, header, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+		is.NoErr(err)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(header.Get("Retry-After"), expected)
+	}
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -33,6 +33,8 @@
 	// drainRetryAfter is the retry-after of a draining entry. It is short because another
 	// entry can serve the request.
 	drainRetryAfter = 10 * time.Millisecond
+	// noEntryRetryAfter is that of a draining entry which knows of no other that accepts callers.
+	noEntryRetryAfter = time.Second
 	// firstEventTime is the time an idle engine needs for the prompt and the first passes,
 	// up to the first event of a stream.
 	firstEventTime = 200 * time.Millisecond
@@ -272,7 +274,7 @@
 	case c.mayHaveRun && rl.requestsEnded():
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "stopped"}
 	case rl.requestsEnded():
-		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
+		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", rl.leavingRetryAfter()}
 	case c.mayHaveRun && rl.ended(ctx, c):
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case c.mayHaveRun && !c.route.MayRepeat():
