A stopping server accepts the connections that its callers have opened

What callers saw: a connection reset without an answer around the stop of an entry, with the request already sent.

Cause: Stop closed the listener. The kernel resets the connections that it has accepted and that the server has not, although their callers may have sent a request. A connection that Accept had returned and that was not recorded yet was missing in the count of open ones, so that Stop could return, and the process end, before its request was read.

Evidence: TestRequestsOfUnacceptedConnectionsAreAnswered holds Accept before and after it takes a connection; without the change both cases fail with connection reset by peer.

Why it works: Stop wakes Accept with a deadline, and the accept loop itself then takes what waits in the queue without waiting, closes the listener and ends. Stop waits for the end of the loop, so that every connection is recorded. They are served as connections that were just opened. Listeners without a socket are closed as before. A connection that is opened between the last look into the queue and the close of the listener is still reset.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -4,9 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -17,6 +21,9 @@
 	firstRequestTime = 500 * time.Millisecond
 )
 
+// pastTime is a deadline that has passed.
+var pastTime = time.Unix(1, 0)
+
 // Server is an HTTP server whose stop answers each request that it reads. Shutdown of http.Server closes
 // without an answer a connection whose request it has not yet read completely, or not yet begun to handle.
 type Server struct {
@@ -24,7 +31,7 @@
 	stopping atomic.Bool
 
 	mu          sync.Mutex
-	listener    net.Listener
+	listener    *trackingListener         // nil before Serve
 	connections map[*trackedConn]struct{} // open
 }
 
@@ -43,7 +50,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	tracked := &trackingListener{Listener: listener, server: s}
+	tracked := &trackingListener{Listener: listener, server: s, ended: make(chan struct{})}
 	s.mu.Lock()
 	s.listener = tracked
 	s.mu.Unlock()
@@ -54,15 +61,21 @@
 	return err
 }
 
-// Stop closes the listener and each connection that waits for a request, and returns when all are closed.
-// Requests that have begun to arrive are answered. When ctx ends first, Stop returns its error; Close cuts off the rest.
+// Stop closes the listener, once it has accepted the connections that callers have opened, and each connection that
+// waits for a request. It returns when all are closed. Requests that have begun to arrive are answered. When ctx ends
+// first, Stop returns its error; Close cuts off the rest.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		_ = listener.Close() // its error would be that it is closed already
+		listener.stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listener.ended:
+		}
 	}
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
@@ -118,6 +131,8 @@
 	server    *Server
 	closeOnce sync.Once
 	closeErr  error
+	ended     chan struct{} // closed when the server of the listener has stopped accepting
+	endOnce   sync.Once
 }
 
 // Close closes the listener. Both Stop and the HTTP server close it, and a second close would fail.
@@ -126,10 +141,28 @@
 	return l.closeErr
 }
 
-// Accept waits for the next connection.
+// stop makes Accept return what has been opened and then end. Closing the listener at once would reset the
+// connections that the kernel has accepted, which callers have sent requests on.
+func (l *trackingListener) stop() {
+	if _, ok := l.Listener.(syscall.Conn); ok {
+		if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(pastTime) == nil {
+			return
+		}
+	}
+	_ = l.Close() // its error would be that it is closed already
+}
+
+// Accept waits for the next connection. When the server stops, it returns those that wait to be accepted, and then an
+// error.
 func (l *trackingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err != nil {
+	if err != nil && l.server.stopping.Load() {
+		if conn = l.acceptQueued(); conn == nil {
+			_ = l.Close()
+			l.endOnce.Do(func() { close(l.ended) })
+			return nil, net.ErrClosed
+		}
+	} else if err != nil {
 		return nil, err
 	}
 	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(firstRequestTime)}
@@ -139,6 +172,37 @@
 	return tracked, nil
 }
 
+// acceptQueued returns a connection that the kernel has accepted, or nil if there is none.
+func (l *trackingListener) acceptQueued() net.Conn {
+	source, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	accepted, acceptErr := 0, error(unix.EAGAIN)
+	err = control.Control(func(fd uintptr) { // Read would fail, because the deadline has passed
+		for {
+			accepted, _, acceptErr = unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if acceptErr != unix.EINTR && acceptErr != unix.ECONNABORTED {
+				return
+			}
+		}
+	})
+	if err != nil || acceptErr != nil {
+		return nil
+	}
+	file := os.NewFile(uintptr(accepted), "connection")
+	defer func() { _ = file.Close() }()
+	conn, err := net.FileConn(file) // a duplicate
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
@@ -178,7 +242,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	_ = c.Conn.SetReadDeadline(pastTime) // fails only on a closed connection
 }
 
 func (c *trackedConn) recordRequest() {
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -240,3 +240,76 @@
 	is.NoErr(server.Stop(t.Context()))
 	is.NoErr(<-served)
 }
+
+// heldListener is a TCP listener whose Accept waits until release is closed, as on a host with little processor time:
+// before it takes a connection, or before it returns one.
+type heldListener struct {
+	*net.TCPListener
+	before, after chan struct{} // nil for no wait
+	accepting     chan struct{} // gets a value when Accept waits
+}
+
+func (l *heldListener) wait(release chan struct{}) {
+	if release != nil {
+		select {
+		case l.accepting <- struct{}{}:
+		default:
+		}
+		<-release
+	}
+}
+
+// Accept waits for the next connection.
+func (l *heldListener) Accept() (net.Conn, error) {
+	l.wait(l.before)
+	conn, err := l.TCPListener.Accept()
+	if err == nil {
+		l.wait(l.after)
+	}
+	return conn, err
+}
+
+// TestRequestsOfUnacceptedConnectionsAreAnswered guards against a stop that resets connections with requests that the
+// kernel has accepted and the server has not, and against one that ends while a connection is being accepted.
+func TestRequestsOfUnacceptedConnectionsAreAnswered(t *testing.T) {
+	for name, listener := range map[string]*heldListener{
+		"in the queue": {before: make(chan struct{})}, "being accepted": {after: make(chan struct{})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			opened, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			listener.TCPListener, listener.accepting = opened.(*net.TCPListener), make(chan struct{}, 1)
+			server := daemon.NewServer(&http.Server{})
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener, echoPath) }()
+			var conns []net.Conn
+			for range 3 {
+				conn, err := net.Dial("tcp", opened.Addr().String())
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+				is.NoErr(err)
+				conns = append(conns, conn)
+			}
+			<-listener.accepting
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(t.Context()) }()
+			time.Sleep(100 * time.Millisecond)
+			for _, release := range []chan struct{}{listener.before, listener.after} {
+				if release != nil {
+					close(release)
+				}
+			}
+			for _, conn := range conns {
+				body, err := readBody(bufio.NewReader(conn))
+				is.NoErr(err)
+				is.Equal(body, "/x")
+			}
+			is.NoErr(<-stopped)
+			is.NoErr(<-served)
+			_, err = net.Dial("tcp", opened.Addr().String())
+			is.True(err != nil) // the listener is closed
+		})
+	}
+}
