A stopping server reads what has arrived before it closes a waiting connection

What callers saw: a kept connection reset around the stop of an entry, with a whole request sent on it.

Cause: Stop ends the reading of a connection that waits with a deadline in the past. The poller then fails the read without trying it, so a request that lies in the kernel's buffer is dropped. The gap lasts as long as the reading goroutine has had no processor time since the bytes came.

Evidence: TestRequestInBuffersOfClosedConnectionIsAnswered holds a read until its connection is being closed and its request has arrived; without the change it fails with connection reset by peer.

Why it works: after such a timeout the connection looks once, without waiting and whatever the deadline, for bytes that have come; if there are any, it goes on, with the deadline that the HTTP server has set meanwhile instead of none. Bytes that come after the look are still lost: the caller's connection is closed then like any idle one.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -211,30 +212,64 @@
 	waiting bool // for the first byte of a request
 	// waitingUntil is the time before which a connection that waits is not closed.
 	waitingUntil time.Time
-	closing      bool // reading ends at once, unless bytes have come
+	closing      bool      // reading ends at once, unless bytes have come
+	deadline     time.Time // for reading, as the HTTP server has set it
 }
 
 // Read reads from the connection and notes the begin of a request.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+		if n = readArrived(c.Conn, p); n > 0 {
+			err = nil
+		}
+	}
 	if n > 0 {
 		c.recordRequest()
 	}
 	return n, err
 }
 
-// SetReadDeadline sets the deadline for reading, unless the connection is about to be closed.
+// readArrived reads the bytes that have arrived. Once a deadline has passed, Read fails without looking for them.
+func readArrived(conn net.Conn, p []byte) int {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = control.Control(func(fd uintptr) { // fails only on a closed connection
+		n, _, err = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// SetReadDeadline sets the deadline for reading, for a connection that is about to be closed when it is not closed
+// after all.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.deadline = t
 	if c.closing {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+func (c *trackedConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // closeIfWaiting ends the reading of a connection on which no request has begun to arrive, so that the HTTP
-// server closes it. A request that arrives in the same moment is read and answered.
+// server closes it. A request that has arrived when reading ends is read and answered.
 func (c *trackedConn) closeIfWaiting(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -251,7 +286,7 @@
 	c.waiting = false
 	if c.closing {
 		c.closing = false
-		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only on a closed connection
 	}
 }
 
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -313,3 +313,63 @@
 		})
 	}
 }
+
+// heldReadListener accepts connections of which one read waits for release before it begins, as on a host with
+// little processor time.
+type heldReadListener struct {
+	net.Listener
+	held    int // number of the read on its connection, from 0
+	reading chan struct{}
+	release chan struct{}
+}
+
+// Accept waits for the next connection.
+func (l *heldReadListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldReadConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+}
+
+type heldReadConn struct {
+	*net.TCPConn
+	listener *heldReadListener
+	reads    int
+}
+
+// Read reads from the connection.
+func (c *heldReadConn) Read(p []byte) (int, error) {
+	c.reads++
+	if c.reads-1 == c.listener.held {
+		c.listener.reading <- struct{}{}
+		<-c.listener.release
+	}
+	return c.TCPConn.Read(p)
+}
+
+// TestRequestInBuffersOfClosedConnectionIsAnswered guards against a stop that closes a connection whose request has
+// arrived and waits for the server to read it.
+func TestRequestInBuffersOfClosedConnectionIsAnswered(t *testing.T) {
+	is := is.New(t)
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &heldReadListener{Listener: opened, reading: make(chan struct{}), release: make(chan struct{})}
+	server := daemon.NewServer(&http.Server{})
+	go func() { _ = server.Serve(listener, echoPath) }()
+	conn, err := net.Dial("tcp", opened.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	<-listener.reading
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	time.Sleep(time.Second) // the server closes all connections that wait
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the request arrives
+	close(listener.release)
+	body, err := readBody(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.Equal(body, "/x")
+	is.NoErr(<-stopped)
+}
