A stopping server keeps connections of whose next request it has read a part

What callers saw: a connection closed without an answer around the stop of an entry, while its next request was being sent.

Cause: when a response ends, the connection counts as waiting. But net/http may have read a part of the next request by then: one byte while the handler ran, or whatever came with the request before, in its read buffer. The stop then closed the connection between two parts of a request.

Evidence: TestRequestBegunBeforeEarlierResponseIsAnswered sends the rest of such a request during the stop.

Why it works: net/http reads through a buffer, and asks for less than its size only if bytes lie in it. So a read that asks for less than the first one of its connection tells that a request has begun.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -214,10 +214,14 @@
 	waitingUntil time.Time
 	closing      bool      // reading ends at once, unless bytes have come
 	deadline     time.Time // for reading, as the HTTP server has set it
+	bufferBytes  int       // size of the HTTP server's read buffer
 }
 
 // Read reads from the connection and notes the begin of a request.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if c.hasBuffered(len(p)) {
+		c.recordRequest()
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
 		if n = readArrived(c.Conn, p); n > 0 {
@@ -230,6 +234,17 @@
 	return n, err
 }
 
+// hasBuffered reports whether the HTTP server has bytes of a request while it reads: it asks for less than its whole
+// buffer then. It has read them with an earlier request or while that ran.
+func (c *trackedConn) hasBuffered(readBytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferBytes == 0 {
+		c.bufferBytes = readBytes // the first read is into an empty buffer
+	}
+	return readBytes < c.bufferBytes
+}
+
 // readArrived reads the bytes that have arrived. Once a deadline has passed, Read fails without looking for them.
 func readArrived(conn net.Conn, p []byte) int {
 	source, ok := conn.(syscall.Conn)
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -373,3 +373,68 @@
 	is.Equal(body, "/x")
 	is.NoErr(<-stopped)
 }
+
+// startHeld starts a server whose handler of /held waits until release is closed or its caller has left.
+func startHeld(t *testing.T) (server *daemon.Server, conn net.Conn, running, release chan struct{}) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server = daemon.NewServer(&http.Server{})
+	running, release = make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				running <- struct{}{}
+				select {
+				case <-release:
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler)
+				}
+			}
+			echoPath(w, r)
+		}))
+	}()
+	conn, err = net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return server, conn, running, release
+}
+
+// TestRequestBegunBeforeEarlierResponseIsAnswered guards against a stop that closes a connection of whose next request
+// the server has read a part before it answered the one before.
+func TestRequestBegunBeforeEarlierResponseIsAnswered(t *testing.T) {
+	const first, second = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n", "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, parts := range map[string][3]string{ // by when they are sent: at first, while the handler runs, during the stop
+		"one byte":   {first, second[:1], second[1:]},
+		"pipelined":  {first + second[:20], "", second[20:]},
+		"short line": {first + second[:2], "", second[2:]},
+		"whole":      {first + second, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, conn, running, release := startHeld(t)
+			send := func(part int) {
+				_, err := io.WriteString(conn, parts[part])
+				is.NoErr(err)
+			}
+			send(0)
+			<-running
+			send(1)
+			time.Sleep(50 * time.Millisecond) // the server reads it
+			close(release)
+			reader := bufio.NewReader(conn)
+			body, err := readBody(reader)
+			is.NoErr(err)
+			is.Equal(body, "/held")
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(t.Context()) }()
+			time.Sleep(time.Second) // the server closes all connections that wait
+			send(2)
+			body, err = readBody(reader)
+			is.NoErr(err)
+			is.Equal(body, "/second")
+			is.NoErr(<-stopped)
+		})
+	}
+}
