--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -240,3 +240,201 @@
 	is.NoErr(server.Stop(t.Context()))
 	is.NoErr(<-served)
 }
+
+// heldListener is a TCP listener whose Accept waits until release is closed, as on a host with little processor time:
+// before it takes a connection, or before it returns one.
+type heldListener struct {
+	*net.TCPListener
+	before, after chan struct{} // nil for no wait
+	accepting     chan struct{} // gets a value when Accept waits
+}
+
+func (l *heldListener) wait(release chan struct{}) {
+	if release != nil {
+		select {
+		case l.accepting <- struct{}{}:
+		default:
+		}
+		<-release
+	}
+}
+
+// Accept waits for the next connection.
+func (l *heldListener) Accept() (net.Conn, error) {
+	l.wait(l.before)
+	conn, err := l.TCPListener.Accept()
+	if err == nil {
+		l.wait(l.after)
+	}
+	return conn, err
+}
+
+// TestRequestsOfUnacceptedConnectionsAreAnswered guards against a stop that resets connections with requests that the
+// kernel has accepted and the server has not, and against one that ends while a connection is being accepted.
+func TestRequestsOfUnacceptedConnectionsAreAnswered(t *testing.T) {
+	for name, listener := range map[string]*heldListener{
+		"in the queue": {before: make(chan struct{})}, "being accepted": {after: make(chan struct{})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			opened, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			listener.TCPListener, listener.accepting = opened.(*net.TCPListener), make(chan struct{}, 1)
+			server := daemon.NewServer(&http.Server{})
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener, echoPath) }()
+			var conns []net.Conn
+			for range 3 {
+				conn, err := net.Dial("tcp", opened.Addr().String())
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+				is.NoErr(err)
+				conns = append(conns, conn)
+			}
+			<-listener.accepting
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(t.Context()) }()
+			time.Sleep(100 * time.Millisecond)
+			for _, release := range []chan struct{}{listener.before, listener.after} {
+				if release != nil {
+					close(release)
+				}
+			}
+			for _, conn := range conns {
+				body, err := readBody(bufio.NewReader(conn))
+				is.NoErr(err)
+				is.Equal(body, "/x")
+			}
+			is.NoErr(<-stopped)
+			is.NoErr(<-served)
+			_, err = net.Dial("tcp", opened.Addr().String())
+			is.True(err != nil) // the listener is closed
+		})
+	}
+}
+
+// heldReadListener accepts connections of which one read waits for release before it begins, as on a host with
+// little processor time.
+type heldReadListener struct {
+	net.Listener
+	held    int // number of the read on its connection, from 0
+	reading chan struct{}
+	release chan struct{}
+}
+
+// Accept waits for the next connection.
+func (l *heldReadListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldReadConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+}
+
+type heldReadConn struct {
+	*net.TCPConn
+	listener *heldReadListener
+	reads    int
+}
+
+// Read reads from the connection.
+func (c *heldReadConn) Read(p []byte) (int, error) {
+	c.reads++
+	if c.reads-1 == c.listener.held {
+		c.listener.reading <- struct{}{}
+		<-c.listener.release
+	}
+	return c.TCPConn.Read(p)
+}
+
+// TestRequestInBuffersOfClosedConnectionIsAnswered guards against a stop that closes a connection whose request has
+// arrived and waits for the server to read it.
+func TestRequestInBuffersOfClosedConnectionIsAnswered(t *testing.T) {
+	is := is.New(t)
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &heldReadListener{Listener: opened, reading: make(chan struct{}), release: make(chan struct{})}
+	server := daemon.NewServer(&http.Server{})
+	go func() { _ = server.Serve(listener, echoPath) }()
+	conn, err := net.Dial("tcp", opened.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	<-listener.reading
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	time.Sleep(time.Second) // the server closes all connections that wait
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the request arrives
+	close(listener.release)
+	body, err := readBody(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.Equal(body, "/x")
+	is.NoErr(<-stopped)
+}
+
+// startHeld starts a server whose handler of /held waits until release is closed or its caller has left.
+func startHeld(t *testing.T) (server *daemon.Server, conn net.Conn, running, release chan struct{}) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server = daemon.NewServer(&http.Server{})
+	running, release = make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				running <- struct{}{}
+				select {
+				case <-release:
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler)
+				}
+			}
+			echoPath(w, r)
+		}))
+	}()
+	conn, err = net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return server, conn, running, release
+}
+
+// TestRequestBegunBeforeEarlierResponseIsAnswered guards against a stop that closes a connection of whose next request
+// the server has read a part before it answered the one before.
+func TestRequestBegunBeforeEarlierResponseIsAnswered(t *testing.T) {
+	const first, second = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n", "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, parts := range map[string][3]string{ // by when they are sent: at first, while the handler runs, during the stop
+		"one byte":   {first, second[:1], second[1:]},
+		"pipelined":  {first + second[:20], "", second[20:]},
+		"short line": {first + second[:2], "", second[2:]},
+		"whole":      {first + second, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, conn, running, release := startHeld(t)
+			send := func(part int) {
+				_, err := io.WriteString(conn, parts[part])
+				is.NoErr(err)
+			}
+			send(0)
+			<-running
+			send(1)
+			time.Sleep(50 * time.Millisecond) // the server reads it
+			close(release)
+			reader := bufio.NewReader(conn)
+			body, err := readBody(reader)
+			is.NoErr(err)
+			is.Equal(body, "/held")
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(t.Context()) }()
+			time.Sleep(time.Second) // the server closes all connections that wait
+			send(2)
+			body, err = readBody(reader)
+			is.NoErr(err)
+			is.Equal(body, "/second")
+			is.NoErr(<-stopped)
+		})
+	}
+}
