Bound the connections and the heads of every HTTP server

What callers saw: an entry whose descriptors were used up by connections that send nothing, at any of its addresses, and whose memory grew with heads that stop short of their end.

Cause: nothing bounded the connections of a server, idle ones of the readiness, directory and metrics servers never ended, and a head costs a multiple of its bytes when it is parsed.

Why it works: each server has a share of the descriptors and of the memory. At its bound a connection whose client has stalled gives way to a new one, then the one that has been idle longest; one whose request runs never does.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -69,7 +69,7 @@
 	register(serviceClaims, []string{servicePeers}, func(k *kernel.Kernel) any { return newClaimer(s, k, log) })
 	register(serviceDispatch, []string{servicePool, serviceClaims}, func(k *kernel.Kernel) any { return newDispatcher(s, k, log) })
 	register(serviceHTTPAPI, []string{serviceDispatch, serviceMetrics, serviceEntryState}, func(k *kernel.Kernel) any { return newAPIServer(s, k, log) })
-	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness, servicePool, servicePeers}, operations))
+	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness, servicePool, servicePeers}, daemon.Limits{}, operations))
 	k.Register(linkService(s))
 	k.Register(kernel.Loop(serviceFollower, []string{serviceStore, servicePeers, serviceReadiness}, func(ctx context.Context, k *kernel.Kernel) {
 		newFollower(s, k, log).Run(ctx)
@@ -83,7 +83,7 @@
 	k.Register(kernel.Loop(serviceHosts, []string{servicePool, servicePeers, serviceReadiness}, func(ctx context.Context, k *kernel.Kernel) {
 		pollHostList(ctx, s, k, daemon.PartLogger(log, serviceHosts))
 	}))
-	k.Register(daemon.HTTPService(serviceCallers, s.CallersAddress, []string{serviceHTTPAPI, serviceFollower, serviceGossip, serviceHosts, serviceClaimLoop}, func(k *kernel.Kernel) http.Handler {
+	k.Register(daemon.HTTPService(serviceCallers, s.CallersAddress, []string{serviceHTTPAPI, serviceFollower, serviceGossip, serviceHosts, serviceClaimLoop}, daemon.Limits{}, func(k *kernel.Kernel) http.Handler {
 		return kernel.Get[*httpapi.Server](k, serviceHTTPAPI).Handler()
 	}))
 	k.Register(drainService(s, daemon.PartLogger(log, serviceDrain)))
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -95,6 +95,8 @@
 	RetryLimit      limit.RetryLimit // of all entries together, for each service
 	// Budget bounds what callers make the process hold.
 	Budget *bytebudget.Budget
+	// Shares are the connections that each server may have open.
+	Shares daemon.Shares
 	Log    zerolog.Logger
 }
 
@@ -128,11 +130,12 @@
 	registerLoop("board", func(ctx context.Context) { s.view.Run(ctx) }) // the view of the platform's store
 	registerLoop("beats", s.runHeartbeats)
 	readiness := daemon.NewReadiness("")
-	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler {
+	operations := daemon.Limits{Connections: c.Shares.Operations, Budget: c.Budget}
+	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler {
 		return daemon.NewOperationsRouter(set, readiness)
 	}))
-	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
-	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
+	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
+	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, daemon.Limits{Connections: c.Shares.Directory, Budget: c.Budget}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
 	k.Register(s.callersService())
 }
 
@@ -367,7 +370,8 @@
 func (s *Server) callersService() kernel.Service {
 	server := daemon.NewServer(&http.Server{
 		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, DisableGeneralOptionsHandler: true,
-	})
+	}, daemon.Limits{Connections: s.config.Shares.Callers, Budget: s.config.Budget})
+	s.metrics.observeServer(server, s.config.Budget)
 	start := func(context.Context, *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.config.CallersAddress)
 		if err != nil {
--- a/entryd/frontend/frontend_test.go
+++ b/entryd/frontend/frontend_test.go
@@ -22,6 +22,7 @@
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
 	"camphormill.dev/parts/bytebudget"
+	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/kernel"
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/mesh"
@@ -74,7 +75,7 @@
 	return frontend.Config{
 		Self: mesh.Host{Name: "e", Role: mesh.RoleEntry, Address: freeDatagramAddress(t), CallerAddress: callers}, CallersAddress: callers,
 		ReadyAddress: freeAddress(t), DirectoryAddress: freeAddress(t), MetricsAddress: freeAddress(t), NewReadyHandler: status, NewDirectoryHandler: status,
-		RevocationBound: 5 * time.Second, StopTimeout: 6 * time.Second, RetryLimit: limit.RetryLimit{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, Budget: bytebudget.ForProcess(0), Log: zerolog.Nop(),
+		RevocationBound: 5 * time.Second, StopTimeout: 6 * time.Second, RetryLimit: limit.RetryLimit{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, Budget: bytebudget.ForProcess(0), Shares: daemon.NewShares(0, 0), Log: zerolog.Nop(),
 		Hosts: mesh.Directory{
 			Register: func(context.Context, mesh.Host) error { return nil },
 			Hosts:    func(context.Context) ([]mesh.Host, error) { return nil, nil },
--- a/entryd/frontend/observer.go
+++ b/entryd/frontend/observer.go
@@ -8,6 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"camphormill.dev/entryd/relay"
+	"camphormill.dev/parts/bytebudget"
+	"camphormill.dev/parts/daemon"
 )
 
 // maxOrganisationSeries bounds the organisations with their own metric series; all others
@@ -72,3 +74,17 @@
 func (o *observer) countTargetDeath(service string) {
 	o.set.GetOrCreateCounter(fmt.Sprintf(`camphormill_target_deaths_total{service=%q}`, service)).Inc()
 }
+
+// observeServer adds the gauges of the server for callers and of the budget of the process.
+func (o *observer) observeServer(server *daemon.Server, budget *bytebudget.Budget) {
+	gauge := func(name string, value func() int64) {
+		o.set.NewGauge(name, func() float64 { return float64(value()) })
+	}
+	gauge(`camphormill_connections_open`, func() int64 { return int64(server.Connections().Open) })
+	gauge(`camphormill_connections_evicted`, func() int64 { return server.Connections().Evicted })
+	gauge(`camphormill_connections_refused`, func() int64 { return server.Connections().Refused })
+	gauge(`camphormill_budget_bytes{state="size"}`, budget.Size)
+	gauge(`camphormill_budget_bytes{state="held"}`, func() int64 { return budget.Stats().Held })
+	gauge(`camphormill_budget_evicted`, func() int64 { return budget.Stats().Evicted })
+	gauge(`camphormill_budget_refused`, func() int64 { return budget.Stats().Refused })
+}
--- a/parts/bytebudget/body.go
+++ b/parts/bytebudget/body.go
@@ -77,10 +77,9 @@
 	switch {
 	case body.size > limit:
 		return Body{}, ErrTooLarge
-	case err == io.EOF:
-		h.Settle()
+	case err == io.EOF && h.Settle():
 		return body, nil
-	case err == ErrFull || h.Evicted():
+	case err == io.EOF, err == ErrFull, h.Evicted():
 		return Body{}, ErrFull
 	}
 	return Body{}, err
--- a/parts/bytebudget/bytebudget.go
+++ b/parts/bytebudget/bytebudget.go
@@ -19,7 +19,7 @@
 const (
 	// processShare is the share of a process's memory that senders may fill. The rest is left for connections, garbage
 	// and the daemon itself.
-	processShare = 0.25
+	processShare = 0.2
 	// defaultBytes is the budget of a process whose memory is not known.
 	defaultBytes = 256 << 20
 	// stallTime is that of the budget of a process.
@@ -147,14 +147,16 @@
 	delete(h.budget.holds, h)
 }
 
-// Settle records that the sender has sent everything: it no longer gives way. A nil hold has nothing to settle.
-func (h *Hold) Settle() {
+// Settle records that the sender has sent everything: it no longer gives way. It returns false if the sender has given way
+// before. A nil hold has nothing to settle.
+func (h *Hold) Settle() bool {
 	if h == nil {
-		return
+		return true
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	delete(h.budget.holds, h)
+	return !h.evicted
 }
 
 // Unsettle records that the holder waits for its peer again, for instance for a caller to read: it gives way if there is no
--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -25,6 +25,9 @@
 // headerTimeout bounds the time that a client takes to send its headers.
 const headerTimeout = 5 * time.Second
 
+// idleTimeout is the time after which an idle connection is closed.
+const idleTimeout = time.Minute
+
 // stopTimeout bounds a graceful shutdown, which waits for the requests in flight.
 const stopTimeout = 10 * time.Minute
 
@@ -113,8 +116,8 @@
 // HTTPService returns a kernel service that serves the handler on an address. The
 // value of the service is the *Server. Its Stop waits for the requests in flight
 // until the context of Stop ends.
-func HTTPService(name, address string, needs []string, handler func(k *kernel.Kernel) http.Handler) kernel.Service {
-	server := NewServer(&http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 32 << 10})
+func HTTPService(name, address string, needs []string, limits Limits, handler func(k *kernel.Kernel) http.Handler) kernel.Service {
+	server := NewServer(&http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 32 << 10}, limits)
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"camphormill.dev/parts/bytebudget"
 )
 
 const (
@@ -28,27 +30,47 @@
 // Server is an HTTP server whose stop answers each request that it reads. Shutdown of http.Server closes
 // without an answer a connection whose request it has not yet read completely, or not yet begun to handle.
 type Server struct {
-	http     *http.Server
-	stopping atomic.Bool
+	http             *http.Server
+	limits           Limits
+	stopping         atomic.Bool
+	evicted, refused atomic.Int64 // connections
 
 	mu          sync.Mutex
 	listener    *trackingListener         // nil before Serve
 	connections map[*trackedConn]struct{} // open
 }
 
-// NewServer returns a server with the configuration of s, which must set neither Handler nor ConnState.
-func NewServer(s *http.Server) *Server {
-	server := &Server{http: s, connections: map[*trackedConn]struct{}{}}
+// NewServer returns a server with the configuration of s, which must set neither Handler, ConnState nor ConnContext.
+func NewServer(s *http.Server, limits Limits) *Server {
+	server := &Server{http: s, limits: limits, connections: map[*trackedConn]struct{}{}}
 	s.ConnState = server.recordState
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
 	return server
 }
 
+// ConnectionStats tells what the bound on a server's connections has done.
+type ConnectionStats struct {
+	Open    int
+	Evicted int64 // closed to make room
+	Refused int64 // closed at once, without room
+}
+
+// Connections returns what the bound on the connections has done.
+func (s *Server) Connections() ConnectionStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConnectionStats{Open: len(s.connections), Evicted: s.evicted.Load(), Refused: s.refused.Load()}
+}
+
 // Serve serves the handler until Stop. Its error is nil after Stop.
 func (s *Server) Serve(listener net.Listener, handler http.Handler) error {
 	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		defer trackBody(r)()
 		handler.ServeHTTP(w, r)
 	})
 	tracked := &trackingListener{Listener: listener, server: s, ended: make(chan struct{})}
@@ -117,9 +139,11 @@
 	switch state {
 	case http.StateActive:
 		c.recordRequest()
+		c.recordHead()
 	case http.StateIdle:
 		c.recordWaiting()
 	case http.StateClosed, http.StateHijacked:
+		c.releaseHead()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.connections, c)
@@ -156,21 +180,46 @@
 // Accept waits for the next connection. When the server stops, it returns those that wait to be accepted, and then an
 // error.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil && l.server.stopping.Load() {
-		if conn = l.acceptQueued(); conn == nil {
-			_ = l.Close()
-			l.endOnce.Do(func() { close(l.ended) })
-			return nil, net.ErrClosed
+	for {
+		conn, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.server.track(conn); tracked != nil {
+			return tracked, nil
 		}
-	} else if err != nil {
-		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(firstRequestTime)}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.connections[tracked] = struct{}{}
-	return tracked, nil
+}
+
+// accept is Accept without the bound on connections.
+func (l *trackingListener) accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil || !l.server.stopping.Load() {
+		return conn, err
+	}
+	if conn = l.acceptQueued(); conn != nil {
+		return conn, nil
+	}
+	_ = l.Close()
+	l.endOnce.Do(func() { close(l.ended) })
+	return nil, net.ErrClosed
+}
+
+// track adds a connection to those of the server. If there is no room for it, it closes the connection and returns nil.
+func (s *Server) track(conn net.Conn) *trackedConn {
+	now := time.Now()
+	tracked := &trackedConn{
+		Conn: conn, budget: s.limits.Budget, waiting: true, waitingUntil: now.Add(firstRequestTime),
+		activity: activity{phase: phaseOpened, since: now},
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.makeRoom(now) {
+		_ = conn.Close()
+		return nil
+	}
+	s.connections[tracked] = struct{}{}
+	return tracked
 }
 
 // acceptQueued returns a connection that the kernel has accepted, or nil if there is none.
@@ -207,9 +256,17 @@
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
+	budget *bytebudget.Budget // nil: heads have no bound
 
-	mu      sync.Mutex
-	waiting bool // for the first byte of a request
+	mu            sync.Mutex
+	activity      activity
+	headBytes     int
+	headReserved  int              // bytes of the head for which there is room
+	headHold      *bytebudget.Hold // nil while the head is small
+	unmarkedBytes int              // of a body, since the last progress
+	bodyUntil     time.Time        // by which the body must have come; zero if none is due
+	writeUntil    time.Time        // deadline for writing, as the HTTP server or the handler has set it
+	waiting       bool             // for the first byte of a request
 	// waitingUntil is the time before which a connection that waits is not closed.
 	waitingUntil time.Time
 	closing      bool      // reading ends at once, unless bytes have come
@@ -230,6 +287,9 @@
 	}
 	if n > 0 {
 		c.recordRequest()
+		if !c.recordRead(n) {
+			return 0, errNoRoom
+		}
 	}
 	return n, err
 }
@@ -270,6 +330,9 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.bodyUntil.IsZero() && (t.IsZero() || t.After(c.bodyUntil)) {
+		t = c.bodyUntil
+	}
 	c.deadline = t
 	if c.closing {
 		return nil
@@ -306,7 +369,132 @@
 }
 
 func (c *trackedConn) recordWaiting() {
+	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.activity = activity{phase: phaseIdle, since: time.Now()}
+	if !c.writeUntil.IsZero() {
+		c.writeUntil = time.Time{}
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails only on a closed connection
+	}
 	c.waiting, c.waitingUntil = true, time.Time{}
 }
+
+// errNoRoom reports a head for which there is no memory.
+var errNoRoom = errors.New("no memory for the head of the request is left; the connection is closed")
+
+func (c *trackedConn) currentActivity() activity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.activity
+}
+
+// recordRead notes what the client has sent. It returns false if there is no room for the head of its request.
+func (c *trackedConn) recordRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.activity.phase {
+	case phaseOpened, phaseIdle:
+		c.activity = activity{phase: phaseHead, since: time.Now()}
+		c.headBytes, c.headReserved = n, freeHeadBytes
+		return c.growHead()
+	case phaseHead:
+		c.headBytes += n
+		return c.growHead()
+	case phaseBody:
+		if c.unmarkedBytes += n; c.unmarkedBytes >= progressBytes {
+			c.unmarkedBytes, c.activity.since = 0, time.Now()
+		}
+	}
+	return true
+}
+
+// growHead reserves room for what has come of the head. The caller holds c.mu.
+func (c *trackedConn) growHead() bool {
+	for c.budget != nil && c.headBytes > c.headReserved {
+		if c.headHold == nil {
+			c.headHold = c.budget.Open(func() { _ = c.Conn.Close() })
+		}
+		if !c.headHold.Grow(headCost * headBlockBytes) {
+			return false
+		}
+		c.headReserved += headBlockBytes
+	}
+	return true
+}
+
+// recordHead notes that the head of a request has come.
+func (c *trackedConn) recordHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity = activity{phase: phaseRunning, since: time.Now()}
+	c.headHold.Settle()
+}
+
+func (c *trackedConn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headHold.Close()
+	c.headHold = nil
+}
+
+// beginBody notes that a handler begins to wait for a body.
+func (c *trackedConn) beginBody() {
+	now := time.Now()
+	c.mu.Lock()
+	c.activity = activity{phase: phaseBody, since: now}
+	c.unmarkedBytes, c.bodyUntil = 0, now.Add(bodyTimeout)
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
+// endBody notes that the whole body has come.
+func (c *trackedConn) endBody() {
+	c.mu.Lock()
+	if c.bodyUntil.IsZero() {
+		c.mu.Unlock()
+		return
+	}
+	c.activity.phase, c.bodyUntil = phaseRunning, time.Time{}
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
+// endHandler notes that a handler has returned. The HTTP server then discards what has not come of the body.
+func (c *trackedConn) endHandler() {
+	until := time.Now().Add(discardTime)
+	c.mu.Lock()
+	if !c.bodyUntil.IsZero() && until.Before(c.bodyUntil) {
+		c.bodyUntil = until
+	}
+	c.mu.Unlock()
+}
+
+// Write writes to the client, which must read within writeStallTime.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	until := now.Add(writeStallTime)
+	if !c.writeUntil.IsZero() && c.writeUntil.Before(until) {
+		until = c.writeUntil
+	}
+	c.activity.writingAt = now
+	err := c.Conn.SetWriteDeadline(until)
+	c.mu.Unlock()
+	n := 0
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	}
+	c.mu.Lock()
+	c.activity.writingAt = time.Time{}
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetWriteDeadline sets the deadline for writing.
+func (c *trackedConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeUntil = t
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -77,7 +77,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			slow := &slowListener{Listener: listener, hold: func(n int) bool { return n == held }, read: make(chan struct{}), release: make(chan struct{})}
-			server := daemon.NewServer(&http.Server{})
+			server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 			go func() { _ = server.Serve(slow, echoPath) }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			is.NoErr(err)
@@ -110,7 +110,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
@@ -137,7 +137,7 @@
 		ran := map[string]bool{}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
-		server := daemon.NewServer(&http.Server{})
+		server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 		go func() {
 			_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				mu.Lock()
@@ -194,7 +194,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	running := make(chan struct{})
 	go func() {
 		_ = server.Serve(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -233,7 +233,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(lateListener{listener}, http.NotFoundHandler()) }()
 	time.Sleep(50 * time.Millisecond) // the server accepts
@@ -280,7 +280,7 @@
 			opened, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			listener.TCPListener, listener.accepting = opened.(*net.TCPListener), make(chan struct{}, 1)
-			server := daemon.NewServer(&http.Server{})
+			server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 			served := make(chan error, 1)
 			go func() { served <- server.Serve(listener, echoPath) }()
 			var conns []net.Conn
@@ -355,7 +355,7 @@
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener := &heldReadListener{Listener: opened, reading: make(chan struct{}), release: make(chan struct{})}
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	conn, err := net.Dial("tcp", opened.Addr().String())
 	is.NoErr(err)
@@ -380,7 +380,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server = daemon.NewServer(&http.Server{})
+	server = daemon.NewServer(&http.Server{}, daemon.Limits{})
 	running, release = make(chan struct{}), make(chan struct{})
 	go func() {
 		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -48,7 +48,7 @@
 	k.Register(valueService(serviceMetrics, metrics.NewSet()))
 	k.Register(valueService(serviceReadiness, daemon.NewReadiness("starting")))
 	k.Register(valueService(serviceConfiguration, preset.NewStore()))
-	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, newOperationsHandler))
+	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, daemon.Limits{}, newOperationsHandler))
 	k.Register(gateService(s))
 	registerGroup(k, s.Group, daemon.PartLogger(log, serviceGroup))
 	k.Register(linkService(s, daemon.PartLogger(log, serviceLink)))
