--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -460,14 +460,15 @@
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 }
 
-// endHandler notes that a handler has returned. The HTTP server then discards what has not come of the body.
+// endHandler notes that a handler has returned. The HTTP server discards what has not come of the body, before it sends the
+// response.
 func (c *trackedConn) endHandler() {
-	until := time.Now().Add(discardTime)
 	c.mu.Lock()
-	if !c.bodyUntil.IsZero() && until.Before(c.bodyUntil) {
-		c.bodyUntil = until
-	}
+	pending := !c.bodyUntil.IsZero()
 	c.mu.Unlock()
+	if pending {
+		_ = c.SetReadDeadline(time.Now().Add(discardTime)) // fails only on a closed connection
+	}
 }
 
 // Write writes to the client, which must read within writeStallTime.
