A stopping server waits for the next request after a response that keeps its connection

What callers saw: a connection reset without an answer late in the stop of an entry, right after a stream of it had ended.

Cause: a response that was begun before the stop doesn't tell its caller that the connection closes. The caller sends its next request on it, while the stop closed the connection within 20 ms of the end of the response.

Evidence: TestRequestAfterResponseOfStoppingServerIsAnswered sends a request 100 ms after such a response; without the change it fails with an unexpected EOF.

Why it works: a connection that waits since a response counts like one that was just opened: it is closed after 500 ms without a request. A request that comes gets a response that closes the connection. A stop may take 500 ms longer; its end is bounded by the caller's context as before.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -17,9 +17,9 @@
 const (
 	// stopPollInterval is the interval at which a server that stops closes the connections that wait.
 	stopPollInterval = 20 * time.Millisecond
-	// firstRequestTime is how long a stopping server waits for the first request of a connection that was
-	// just opened: it is usually on its way.
-	firstRequestTime = 500 * time.Millisecond
+	// nextRequestTime is how long a stopping server waits for a request on a connection that was just opened, or whose
+	// caller has just got a response without a request to close it: one is usually on its way.
+	nextRequestTime = 500 * time.Millisecond
 )
 
 // pastTime is a deadline that has passed.
@@ -166,7 +166,7 @@
 	} else if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(firstRequestTime)}
+	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(nextRequestTime)}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.connections[tracked] = struct{}{}
@@ -308,5 +308,5 @@
 func (c *trackedConn) recordWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.waitingUntil = true, time.Time{}
+	c.waiting, c.waitingUntil = true, time.Now().Add(nextRequestTime)
 }
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -438,3 +438,26 @@
 		})
 	}
 }
+
+// TestRequestAfterResponseOfStoppingServerIsAnswered guards against a stop that closes a connection as soon as a response
+// has ended that was begun before the stop and doesn't tell its caller that the connection closes.
+func TestRequestAfterResponseOfStoppingServerIsAnswered(t *testing.T) {
+	is := is.New(t)
+	server, conn, running, release := startHeld(t)
+	_, err := io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-running
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	time.Sleep(50 * time.Millisecond) // the server closes all connections that wait
+	close(release)
+	reader := bufio.NewReader(conn)
+	body, err := readBody(reader)
+	is.NoErr(err)
+	is.Equal(body, "/held")
+	time.Sleep(100 * time.Millisecond)
+	body, err = get(conn, reader, "/second")
+	is.NoErr(err)
+	is.Equal(body, "/second")
+	is.NoErr(<-stopped)
+}
