A stopping server waits for connections that a handler has taken over

What callers saw: suspected only: an HTTP/1.0 response without a length that a stop broke off and that ended like a whole one.

Cause: CutOff takes such a connection over to reset it. From then on the server didn't count it, so Stop could return, and the process end, before the reset; the end of a process closes its connections like a response's regular end.

Evidence: TestStopWaitsForHijackedConnections; without the change Stop returns while the handler holds the connection.

Why it works: a connection counts until it is closed, whoever closes it.

Result: the tests of parts/daemon pass, twice, and once with the race detector; so do the tests of cut-offs in entryd/relay.

--- a/parts/daemon/cutoff.go
+++ b/parts/daemon/cutoff.go
@@ -12,10 +12,11 @@
 func CutOff(w http.ResponseWriter, r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			socket := conn
 			if tracked, ok := conn.(*trackedConn); ok {
-				conn = tracked.Conn
+				socket = tracked.Conn
 			}
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := socket.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0) // fails only on a connection that is already closed
 			}
 			_ = conn.Close()
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -119,13 +119,16 @@
 		c.recordRequest()
 	case http.StateIdle:
 		c.recordWaiting()
-	case http.StateClosed, http.StateHijacked:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.connections, c)
 	}
 }
 
+// remove is called when a connection is closed, also by a handler that has taken it over.
+func (s *Server) remove(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
 // trackingListener accepts connections that tell whether a request has begun to arrive.
 type trackingListener struct {
 	net.Listener
@@ -166,7 +169,7 @@
 	} else if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(nextRequestTime)}
+	tracked := &trackedConn{Conn: conn, onClose: l.server.remove, waiting: true, waitingUntil: time.Now().Add(nextRequestTime)}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.connections[tracked] = struct{}{}
@@ -207,6 +210,7 @@
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
+	onClose func(c *trackedConn)
 
 	mu      sync.Mutex
 	waiting bool // for the first byte of a request
@@ -277,6 +281,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	defer c.onClose(c)
+	return c.Conn.Close()
+}
+
 func (c *trackedConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -461,3 +461,30 @@
 	is.Equal(body, "/second")
 	is.NoErr(<-stopped)
 }
+
+// TestStopWaitsForHijackedConnections guards against a process that ends between the moment in which a handler takes a
+// connection over and that in which it closes it, so that an incomplete response ends like a complete one.
+func TestStopWaitsForHijackedConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{})
+	hijacked := make(chan net.Conn)
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			hijacked <- conn
+		}))
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.0\r\n\r\n")
+	is.NoErr(err)
+	taken := <-hijacked
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	is.Equal(server.Stop(ctx), context.DeadlineExceeded)
+	is.NoErr(taken.Close())
+	is.NoErr(server.Stop(t.Context()))
+}
