The time for a stop bounds the stop of all services

What callers and operators saw: suspected only: a daemon that outlives its stop time and is killed, because a client holds a request to its readiness check, directory or metrics back.

Cause: these services stopped within 10 minutes, whatever the stop time of the daemon. A request whose body never comes whole keeps its connection, and so the process, for all of it.

--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -25,8 +25,11 @@
 // headerTimeout bounds the time that a client takes to send its headers.
 const headerTimeout = 5 * time.Second
 
-// stopTimeout bounds a graceful shutdown, which waits for the requests in flight.
-const stopTimeout = 10 * time.Minute
+// DefaultStopTimeout bounds a graceful shutdown, which waits for the requests in flight.
+const DefaultStopTimeout = 10 * time.Minute
+
+// closeReserve is the part of the time for a shutdown that an HTTP service leaves to the services that stop after it.
+const closeReserve = 100 * time.Millisecond
 
 // NewLogger returns a logger for the daemon with the name. level is debug, info,
 // warn or error. Each part of the daemon logs through its own logger: see PartLogger.
@@ -112,7 +115,7 @@
 
 // HTTPService returns a kernel service that serves the handler on an address. The
 // value of the service is the *Server. Its Stop waits for the requests in flight
-// until the context of Stop ends.
+// until closeReserve before the deadline of its context, and then cuts them off.
 func HTTPService(name, address string, needs []string, handler func(k *kernel.Kernel) http.Handler) kernel.Service {
 	server := NewServer(&http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 32 << 10})
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
@@ -124,12 +127,23 @@
 		go func() { _ = server.Serve(listener, h) }()
 		return server, nil
 	}
-	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: server.Stop}
+	stop := func(ctx context.Context) error {
+		if deadline, ok := ctx.Deadline(); ok {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithDeadline(ctx, deadline.Add(-closeReserve))
+			defer cancel()
+		}
+		if server.Stop(ctx) != nil { // the time is over
+			return server.Close()
+		}
+		return nil
+	}
+	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: stop}
 }
 
 // Run starts the kernel, waits for SIGTERM, SIGINT or the end of ctx, and stops the
-// kernel within stopTimeout.
-func Run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger) error {
+// kernel within the timeout.
+func Run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger, stopTimeout time.Duration) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	// The signal must not cancel the context of the services: k.Stop stops them.
@@ -139,9 +153,10 @@
 	l.Info().Msg("started")
 	<-ctx.Done()
 	l.Info().Msg("stopping after the work in flight has finished")
-	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	startedAt := time.Now()
+	stopCtx, cancelStop := context.WithDeadline(context.Background(), startedAt.Add(stopTimeout))
 	defer cancelStop()
 	err := k.Stop(stopCtx)
-	l.Info().Msg("stopped")
+	l.Info().Dur("took", time.Since(startedAt)).Msg("stopped")
 	return err
 }
--- a/parts/daemon/program.go
+++ b/parts/daemon/program.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return commandline.NewExitError(commandline.ExitUsage, err)
 	}
-	if err := Run(ctx, p.Kernel(s, log), PartLogger(log, "kernel")); err != nil {
+	if err := Run(ctx, p.Kernel(s, log), PartLogger(log, "kernel"), DefaultStopTimeout); err != nil {
 		return commandline.NewExitError(commandline.ExitFailed, err)
 	}
 	return nil
