A request whose context has ended is not sent

What callers saw: suspected only: requests that ran on after their caller had left or their entry had cut them off.

Cause: the client watched the context before it set the deadline of the exchange on the connection. If the context had ended, or ended in between, the deadline overrode the cancellation: the request was sent, and its response awaited until the deadline.

Evidence: TestRequestEndsWithContextThatEndsBeforeItIsSent ends the context while the deadline is being set. Without the change the request is sent and fails after 3 s, its deadline.

Why it works: the deadline is set first, so that nothing overrides the cancellation. A context that has ended by then gives the error of a request that was not sent, which may go to another target.

--- a/parts/httpclient/httpclient.go
+++ b/parts/httpclient/httpclient.go
@@ -143,8 +143,12 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := conn.SetDeadline(r.Deadline); err != nil {
+		_ = conn.Close()
+		return nil, &NotSentError{Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := ctx.Err(); err != nil {
 		stop()
 		_ = conn.Close()
 		return nil, &NotSentError{Cause: err}
--- a/parts/httpclient/httpclient_test.go
+++ b/parts/httpclient/httpclient_test.go
@@ -392,3 +392,41 @@
 	is.NoErr(err)
 	is.Equal(c.ConnectionsOpened(), int64(1))
 }
+
+// slowDeadlineConn is a connection on which a deadline that is ahead takes effect late, as on a host with little
+// processor time.
+type slowDeadlineConn struct {
+	net.Conn
+	onDeadline func()
+}
+
+func (c *slowDeadlineConn) SetDeadline(t time.Time) error {
+	if time.Now().Before(t) {
+		c.onDeadline()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c.Conn.SetDeadline(t)
+}
+
+// TestRequestEndsWithContextThatEndsBeforeItIsSent guards against a request that is sent, and waited for until its
+// deadline, although its caller has left or its entry has stopped since a connection was chosen.
+func TestRequestEndsWithContextThatEndsBeforeItIsSent(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	address := startTarget(t, func(net.Conn, int) { received.Add(1) }) // never answers
+	ctx, cancel := context.WithCancel(t.Context())
+	client := httpclient.New(httpclient.Config{
+		ConnectTimeout: time.Second, Now: time.Now,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &slowDeadlineConn{Conn: conn, onDeadline: cancel}, err
+		},
+	})
+	startedAt := time.Now()
+	_, err := client.Do(ctx, newRequest(address, "a"))
+	is.True(err != nil)
+	is.True(!httpclient.WasSent(err))
+	is.True(time.Since(startedAt) < 2*time.Second) // the deadline of the request is in 3 s
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(received.Load(), int64(0))
+}
