--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -19,9 +19,9 @@
 const (
 	// stopPollInterval is the interval at which a server that stops closes the connections that wait.
 	stopPollInterval = 20 * time.Millisecond
-	// firstRequestTime is how long a stopping server waits for the first request of a connection that was
-	// just opened: it is usually on its way.
-	firstRequestTime = 500 * time.Millisecond
+	// nextRequestTime is how long a stopping server waits for a request on a connection that was just opened, or whose
+	// caller has just got a response without a request to close it: one is usually on its way.
+	nextRequestTime = 500 * time.Millisecond
 )
 
 // pastTime is a deadline that has passed.
@@ -142,14 +142,17 @@
 		c.recordHead()
 	case http.StateIdle:
 		c.recordWaiting()
-	case http.StateClosed, http.StateHijacked:
-		c.releaseHead()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.connections, c)
 	}
 }
 
+// remove is called when a connection is closed, also by a handler that has taken it over.
+func (s *Server) remove(c *trackedConn) {
+	c.releaseHead()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
 // trackingListener accepts connections that tell whether a request has begun to arrive.
 type trackingListener struct {
 	net.Listener
@@ -209,7 +212,7 @@
 func (s *Server) track(conn net.Conn) *trackedConn {
 	now := time.Now()
 	tracked := &trackedConn{
-		Conn: conn, budget: s.limits.Budget, waiting: true, waitingUntil: now.Add(firstRequestTime),
+		Conn: conn, onClose: s.remove, budget: s.limits.Budget, waiting: true, waitingUntil: now.Add(nextRequestTime),
 		activity: activity{phase: phaseOpened, since: now},
 	}
 	s.mu.Lock()
@@ -256,7 +259,8 @@
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
-	budget *bytebudget.Budget // nil: heads have no bound
+	onClose func(c *trackedConn)
+	budget  *bytebudget.Budget // nil: heads have no bound
 
 	mu            sync.Mutex
 	activity      activity
@@ -340,6 +344,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	defer c.onClose(c)
+	return c.Conn.Close()
+}
+
 func (c *trackedConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -377,7 +387,7 @@
 		c.writeUntil = time.Time{}
 		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails only on a closed connection
 	}
-	c.waiting, c.waitingUntil = true, time.Time{}
+	c.waiting, c.waitingUntil = true, time.Now().Add(nextRequestTime)
 }
 
 // errNoRoom reports a head for which there is no memory.
@@ -397,45 +407,52 @@
 	case phaseOpened, phaseIdle:
 		c.activity = activity{phase: phaseHead, since: time.Now()}
 		c.headBytes, c.headReserved = n, freeHeadBytes
-		return c.growHead()
 	case phaseHead:
 		c.headBytes += n
-		return c.growHead()
 	case phaseBody:
 		if c.unmarkedBytes += n; c.unmarkedBytes >= progressBytes {
 			c.unmarkedBytes, c.activity.since = 0, time.Now()
 		}
 	}
-	return true
+	return c.growHead()
 }
 
-// growHead reserves room for what has come of the head. The caller holds c.mu.
+// growHead reserves room for what has come of the head. The caller holds c.mu, which growHead gives up while it uses the
+// budget: that ends the reading of other connections.
 func (c *trackedConn) growHead() bool {
-	for c.budget != nil && c.headBytes > c.headReserved {
-		if c.headHold == nil {
-			c.headHold = c.budget.Open(func() { _ = c.Conn.Close() })
-		}
-		if !c.headHold.Grow(headCost * headBlockBytes) {
-			return false
-		}
-		c.headReserved += headBlockBytes
+	missing := c.headBytes - c.headReserved
+	if c.budget == nil || missing <= 0 {
+		return true
+	}
+	blocks := (missing + headBlockBytes - 1) / headBlockBytes
+	hold := c.headHold
+	c.mu.Unlock()
+	if hold == nil {
+		hold = c.budget.Open(func() { _ = c.Conn.Close() })
 	}
-	return true
+	grown := hold.Grow(int64(blocks) * headCost * headBlockBytes)
+	c.mu.Lock()
+	c.headHold = hold
+	c.headReserved += blocks * headBlockBytes
+	return grown
 }
 
 // recordHead notes that the head of a request has come.
 func (c *trackedConn) recordHead() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.activity = activity{phase: phaseRunning, since: time.Now()}
-	c.headHold.Settle()
+	hold := c.headHold
+	c.mu.Unlock()
+	hold.Settle()
 }
 
+// releaseHead releases the room for the head of a request that has ended.
 func (c *trackedConn) releaseHead() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.headHold.Close()
-	c.headHold = nil
+	hold := c.headHold
+	c.headHold, c.headBytes, c.headReserved = nil, 0, 0
+	c.mu.Unlock()
+	hold.Close()
 }
 
 // beginBody notes that a handler begins to wait for a body.
