A target daemon's stop answers the calls that it can't wait for

What callers saw: a draft whose target was stopped beside a silent engine ended with "quarantined: targets died while they ran requests with this prompt's prefix", although two healthy targets were there, and other drafts that begin alike were refused for 30 s. A call of a silent service ended unknown after 2 s of asking, as if its target had died.

Cause: at the end of its stop time targetd closed its links without answers to what still ran. Its entries can't tell that from a death, so they record a strike against the request. The stop time was 10 minutes and had no setting, so a platform that kills earlier cut the calls off in any case.

Now: "stop_within" of entryd and targetd bounds a stop (default as before). One second before its end targetd ends the work of running calls and answers them with "leaving": unknown, or not run where the work never reached its engine. The exit code stays 1 when something had to be ended.

--- a/entryd/command/command.go
+++ b/entryd/command/command.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/settings"
@@ -17,8 +18,10 @@
 		Usage:    "the daemon of an entry host: accepts requests and sends them to targets",
 		Defaults: Defaults,
 		Checked:  func(s *Settings) settings.Checkable { return s },
-		Common:   func(s Settings) daemon.Settings { return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel} },
-		Kernel:   newKernel,
+		Common: func(s Settings) daemon.Settings {
+			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, StopTimeout: time.Duration(s.StopTimeout)}
+		},
+		Kernel: newKernel,
 	}
 	return program.Main(ctx, args)
 }
--- a/entryd/command/settings.go
+++ b/entryd/command/settings.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/settings"
 )
 
@@ -44,6 +45,7 @@
 	HostListInterval  settings.Duration `json:"host_list_every"`    // interval between reads of the host list
 	Heartbeat         settings.Duration `json:"heartbeat"`          // interval between heartbeats on a link
 	SubsetSize        int               `json:"subset_size"`        // number of links for each model or service
+	StopTimeout       settings.Duration `json:"stop_within"`        // time that a graceful shutdown may take
 }
 
 // Defaults returns the values of settings that are missing from the file.
@@ -58,6 +60,7 @@
 		HostListInterval:  settings.Duration(time.Second),
 		Heartbeat:         settings.Duration(time.Second),
 		SubsetSize:        32,
+		StopTimeout:       settings.Duration(daemon.DefaultStopTimeout),
 	}
 }
 
@@ -82,6 +85,8 @@
 	c.Positive("subset_size", int64(s.SubsetSize))
 	c.Require(s.KeyWindow >= s.ReservationWindow, "key_window", "shorter than reservation_window",
 		"retain keys at least as long as reservations are valid")
+	c.Require(time.Duration(s.StopTimeout) > time.Duration(s.AddressTTL)+daemon.StopReserve, "stop_within", "too short for address_ttl",
+		"write at least "+(time.Duration(s.AddressTTL)+2*daemon.StopReserve).String()+", since callers use an address for address_ttl")
 	s.checkOrganisations(c)
 	for i, p := range s.Peers {
 		field := "peers[" + strconv.Itoa(i) + "]"
--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -36,6 +36,7 @@
 	result := Result{}
 	for {
 		mayRetry := run.attempt(ctx, &result)
+		free := retryIsFree(result.Answer)
 		run.mergeOutcome(&result)
 		if !mayRetry || result.Attempts-run.reroutes >= maxAttempts || ctx.Err() != nil {
 			return result
@@ -43,7 +44,7 @@
 		if isBusy(result.Answer) {
 			run.reroutes++
 		}
-		if !retryIsFree(result.Failure) && !d.takeRetry() {
+		if !free && !d.takeRetry() {
 			return result
 		}
 	}
@@ -62,8 +63,12 @@
 
 // retryIsFree reports whether a retry is not charged to the budget: a leaving
 // target refuses at once and does no work.
-func retryIsFree(f *contract.Failure) bool {
-	return f != nil && f.Kind == contract.KindLeaving
+func retryIsFree(a contract.Answer) bool {
+	return a.Outcome == contract.OutcomeNotRun && isLeaving(a)
+}
+
+func isLeaving(a contract.Answer) bool {
+	return a.Failure != nil && a.Failure.Kind == contract.KindLeaving
 }
 
 func isBusy(a contract.Answer) bool {
@@ -171,7 +176,7 @@
 		return false
 	}
 	if a.Failure == nil || a.Failure.Kind != contract.KindEngineLost {
-		return a.Outcome == contract.OutcomeNotRun
+		return a.Outcome == contract.OutcomeNotRun || isLeaving(a)
 	}
 	run.dispatcher.config.Pool.Suspend(target, run.dispatcher.config.Now().Add(suspendDuration))
 	if a.Outcome == contract.OutcomeNotRun {
--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -25,8 +25,13 @@
 // headerTimeout bounds the time that a client takes to send its headers.
 const headerTimeout = 5 * time.Second
 
-// stopTimeout bounds a graceful shutdown, which waits for the requests in flight.
-const stopTimeout = 10 * time.Minute
+const (
+	// DefaultStopTimeout bounds a graceful shutdown, which waits for the requests in flight.
+	DefaultStopTimeout = 10 * time.Minute
+	// StopReserve is the part of the stop time that is left when a daemon ends the requests that still run: for
+	// their answers, and for the end of the process.
+	StopReserve = time.Second
+)
 
 // NewLogger returns a logger for the daemon with the name. level is debug, info,
 // warn or error. Each part of the daemon logs through its own logger: see PartLogger.
@@ -127,9 +132,23 @@
 	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: server.Stop}
 }
 
+// WithStopReserve returns a context that ends StopReserve before the deadline of ctx, or with ctx if that has no
+// deadline.
+func WithStopReserve(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-StopReserve))
+}
+
 // Run starts the kernel, waits for SIGTERM, SIGINT or the end of ctx, and stops the
-// kernel within stopTimeout.
+// kernel within DefaultStopTimeout.
 func Run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger) error {
+	return run(ctx, k, l, DefaultStopTimeout)
+}
+
+func run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger, stopTimeout time.Duration) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	// The signal must not cancel the context of the services: k.Stop stops them.
--- a/parts/daemon/program.go
+++ b/parts/daemon/program.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -17,6 +18,8 @@
 type Settings struct {
 	Name     string
 	LogLevel string
+	// StopTimeout bounds a graceful shutdown.
+	StopTimeout time.Duration
 }
 
 // Program is the command line of a daemon with settings of type S. Its commands are
@@ -60,7 +63,7 @@
 	if err != nil {
 		return commandline.NewExitError(commandline.ExitUsage, err)
 	}
-	if err := Run(ctx, p.Kernel(s, log), PartLogger(log, "kernel")); err != nil {
+	if err := run(ctx, p.Kernel(s, log), PartLogger(log, "kernel"), common.StopTimeout); err != nil {
 		return commandline.NewExitError(commandline.ExitFailed, err)
 	}
 	return nil
--- a/targetd/command/command.go
+++ b/targetd/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/settings"
@@ -15,8 +16,10 @@
 		Usage:    "the gate before a model engine or service",
 		Defaults: Defaults,
 		Checked:  func(s *Settings) settings.Checkable { return s },
-		Common:   func(s Settings) daemon.Settings { return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel} },
-		Kernel:   newKernel,
+		Common: func(s Settings) daemon.Settings {
+			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, StopTimeout: time.Duration(s.StopTimeout)}
+		},
+		Kernel: newKernel,
 	}
 	return program.Main(ctx, args)
 }
--- a/targetd/command/settings.go
+++ b/targetd/command/settings.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/settings"
+	"camphormill.dev/targetd/gate"
 	"camphormill.dev/targetd/group"
 )
 
@@ -27,6 +29,8 @@
 	MaxReservations      int               `json:"reservations"`   // maximum number of retained reservations
 	MaxReservationWindow settings.Duration `json:"longest_window"` // longest time to the deadline of a reservation
 
+	StopTimeout settings.Duration `json:"stop_within"` // time that a graceful shutdown may take
+
 	// Group is set on hosts whose engine runs ranks of a group.
 	Group *Group `json:"group,omitempty"`
 }
@@ -53,6 +57,7 @@
 		Capacity:             16,
 		MaxReservations:      100_000,
 		MaxReservationWindow: settings.Duration(15 * time.Minute),
+		StopTimeout:          settings.Duration(daemon.DefaultStopTimeout),
 	}
 }
 
@@ -71,6 +76,8 @@
 	c.Positive("reservations", int64(s.MaxReservations))
 	c.Positive("longest_window", int64(s.MaxReservationWindow))
 	c.Keys("reservation_keys", s.ReservationKeys)
+	c.Require(time.Duration(s.StopTimeout) >= gate.MinStopTimeout, "stop_within", "under "+gate.MinStopTimeout.String(),
+		"write at least that, so that every entry learns that the target leaves")
 	if s.Group != nil {
 		s.Group.check(c)
 	}
--- a/targetd/gate/gate.go
+++ b/targetd/gate/gate.go
@@ -51,10 +51,14 @@
 	draining       bool
 	inflight       int           // number of calls that hold a slot
 	idle           chan struct{} // closed once the gate is draining and no call is in flight
+
+	ending  context.Context // ends all running calls
+	endRuns context.CancelFunc
 }
 
 // New returns a gate that admits calls until Drain is called.
 func New(c Config) *Gate {
+	ending, endRuns := context.WithCancel(context.Background())
 	return &Gate{
 		config:         c,
 		frames:         newFrameWriters(),
@@ -64,6 +68,8 @@
 		reservedRuns:   map[string]chan struct{}{},
 		cancels:        map[string]context.CancelFunc{},
 		idle:           make(chan struct{}),
+		ending:         ending,
+		endRuns:        endRuns,
 	}
 }
 
@@ -154,10 +160,13 @@
 	answer := g.config.Work(workCtx, call, emit)
 	cancel()
 	g.release(call.Attempt, g.config.Now().Sub(start))
+	if g.ending.Err() != nil && answer.Outcome != contract.OutcomeDone {
+		answer = contract.Answer{Outcome: answer.Outcome, Failure: endedFailure()}
+	}
 	return answer
 }
 
-// workContext returns the context for the work of a call and records its cancel function for
+// workContext returns the context for the work of a call, which EndRuns ends, and records its cancel function for
 // Cancel. The context of a call under a reservation does not end with ctx, and Cancel does not
 // reach it.
 func (g *Gate) workContext(ctx context.Context, call contract.Call) (context.Context, context.CancelFunc) {
@@ -170,7 +179,11 @@
 		g.cancels[call.Attempt] = cancel
 		g.mu.Unlock()
 	}
-	return ctx, cancel
+	unlink := context.AfterFunc(g.ending, cancel)
+	return ctx, func() {
+		unlink()
+		cancel()
+	}
 }
 
 // admit returns nil once the call holds a slot, which the caller must release. It returns the
@@ -326,6 +339,15 @@
 	return contract.NewFailure(contract.KindLeaving, "the target is shutting down", "send the call to another target")
 }
 
+// EndRuns ends the work of all running calls. Their answers say that they may have run, unless their work is
+// certain that they have not.
+func (g *Gate) EndRuns() { g.endRuns() }
+
+func endedFailure() *contract.Failure {
+	return contract.NewFailure(contract.KindLeaving, "the target shut down while it ran the call",
+		"send a repeatable call to another target; look up with the service whether any other took effect")
+}
+
 // closeIfIdle closes g.idle if the gate is draining and no call is in flight. The caller holds
 // g.mu.
 func (g *Gate) closeIfIdle() {
