A stopping entry accepts what it can complete, and answers the rest at its end

What callers saw: an entry of the project's own protocol that stops beside a silent engine closed their connections at the end of its stop time without a byte of an answer, requests included that it had accepted seconds before.

Cause: a stopping entry accepted each request whatever its deadline, and at the end of the stop time nothing ended the requests: the process did.

A request with a later deadline is refused at once with "leaving" and a time to retry at another address: not run, or unknown if it has a reservation or key, as for any refusal. Reservations are still given, since they take no time. When the time is over, what runs gets its final answer; a call that was never sent is "not run"; a stream that has begun is cut off behind an error event; a body that has not come completely ends "not run". Responses of a draining entry ask for the end of their connections, so that callers don't send the next request on one that is about to be closed.

Evidence: TestStopOfEntryBesideSilentEnginesAnswersEverything (real processes; draft, stream, read, call, call with key, call with reservation, half a body, and requests that come during the stop). On the code before, with only the setting added, the first request sent during the stop ended with EOF after 3 s. It passes now.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -291,7 +291,7 @@
 
 // drainService returns the service that drains the entry. It starts last and therefore
 // stops first: the entry disappears from address answers and keeps serving for as long
-// as callers may cache its address.
+// as callers may cache its address. Requests that still run shortly before the end of the stop timeout are ended.
 func drainService(s Settings, log zerolog.Logger) kernel.Service {
 	var k *kernel.Kernel
 	start := func(_ context.Context, started *kernel.Kernel) (any, error) {
@@ -299,17 +299,38 @@
 		return nil, nil
 	}
 	stop := func(ctx context.Context) error {
+		work, cancel := daemon.WithStopReserve(ctx)
+		defer cancel()
+		cutOff, _ := work.Deadline()
+		kernel.Get[*httpapi.Server](k, serviceHTTPAPI).StartDrain(cutOff)
 		kernel.Get[*daemon.Readiness](k, serviceReadiness).NotReady("leaving")
 		kernel.Get[*entryState](k, serviceEntryState).setLeaving()
-		kernel.Get[*peers.Peers](k, servicePeers).AnnounceNow(ctx)
+		kernel.Get[*peers.Peers](k, servicePeers).AnnounceNow(work)
 		log.Info().Msg("removed from address answers; serving until cached addresses expire")
 		timer := time.NewTimer(time.Duration(s.AddressTTL))
 		defer timer.Stop()
 		select {
 		case <-timer.C:
-		case <-ctx.Done():
+		case <-work.Done():
 		}
-		return nil
+		return stopCallers(ctx, work, k, log)
 	}
 	return kernel.Service{Name: serviceDrain, Needs: []string{serviceCallers, serviceOperations}, Start: start, Stop: stop}
 }
+
+// stopCallers stops the HTTP server for callers. When work ends, it ends the requests that still run, and their answers
+// have half of daemon.StopReserve.
+func stopCallers(ctx, work context.Context, k *kernel.Kernel, log zerolog.Logger) error {
+	server := kernel.Get[*daemon.Server](k, serviceCallers)
+	if server.Stop(work) == nil {
+		return nil
+	}
+	log.Warn().Msg("stop time is over; ending requests in flight")
+	kernel.Get[*httpapi.Server](k, serviceHTTPAPI).EndRequests()
+	answers, cancel := context.WithTimeout(ctx, daemon.StopReserve/2)
+	defer cancel()
+	if err := server.Stop(answers); err != nil {
+		_ = server.Close() // the connections are closed in any case
+	}
+	return errors.New("requests in flight did not end before the stop timeout; raise stop_within")
+}
--- a/entryd/dispatch/repeatable.go
+++ b/entryd/dispatch/repeatable.go
@@ -198,7 +198,10 @@
 // strike.
 func (run *repeatableRun) handleError(ctx context.Context, target, incarnation string, err error, result *Result) bool {
 	if ctx.Err() != nil {
-		result.Answer = contract.UnknownAnswer(deadlineFailure(run.dispatcher))
+		result.Answer = contract.UnknownAnswer(run.dispatcher.endFailure(ctx))
+		if errors.Is(err, pool.ErrNotLinked) {
+			result.Answer = contract.NotRunAnswer(result.Failure)
+		}
 		return false
 	}
 	if errors.Is(err, pool.ErrNotLinked) {
@@ -220,7 +223,13 @@
 	return true
 }
 
-func deadlineFailure(d *Dispatcher) *contract.Failure {
+// endFailure returns the failure for a request whose context has ended: that which ended the context, or that its deadline
+// has passed.
+func (d *Dispatcher) endFailure(ctx context.Context) *contract.Failure {
+	var f *contract.Failure
+	if errors.As(context.Cause(ctx), &f) {
+		return f
+	}
 	return contract.NewFailure(contract.KindDeadline,
 		"the request's deadline has passed", "retry later or allow more time").WithRetryAt(d.config.Now().Add(defaultRetryAfter))
 }
--- a/entryd/dispatch/reserved.go
+++ b/entryd/dispatch/reserved.go
@@ -226,6 +226,10 @@
 			return answer
 		}
 	}
+	var ended *contract.Failure
+	if errors.As(context.Cause(ctx), &ended) {
+		return contract.UnknownAnswer(ended)
+	}
 	return contract.UnknownAnswer(d.targetLostFailure("the target was lost while the call may have run"))
 }
 
--- a/entryd/httpapi/completions.go
+++ b/entryd/httpapi/completions.go
@@ -78,6 +78,9 @@
 	if failure == nil {
 		body, failure = decodeCompletion(request.Body)
 	}
+	if failure == nil {
+		failure = s.refuseOutlasting(request.Deadline)
+	}
 	if failure != nil {
 		s.writeRefusal(w, r, failure)
 		return
@@ -86,7 +89,7 @@
 	request.ServiceName = body.Model
 	request.Stream = body.Stream
 	request.Prefix = prefixHash(request.Organisation, body.Prompt)
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	ctx, cancel := s.requestContext(r, request.Deadline)
 	defer cancel()
 	var result dispatch.Result
 	broken := false
--- a/entryd/httpapi/httpapi.go
+++ b/entryd/httpapi/httpapi.go
@@ -75,20 +75,25 @@
 
 // Server serves the HTTP interface for callers. It is safe for concurrent use.
 type Server struct {
-	config Config
+	config      Config
+	ending      context.Context // ended by EndRequests; its cause is the failure for callers
+	endRequests context.CancelCauseFunc
 
 	mu      sync.Mutex
 	limiter *limit.Limiter
+	drain   drain
 }
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c, limiter: limit.NewLimiter(c.LimitShare)}
+	ending, endRequests := context.WithCancelCause(context.Background())
+	return &Server{config: c, ending: ending, endRequests: endRequests, limiter: limit.NewLimiter(c.LimitShare)}
 }
 
 // Handler returns the HTTP handler of all paths.
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Use(s.announceDrain)
 	router.Get("/v1/addresses", s.addresses)
 	router.Group(func(r chi.Router) {
 		r.Use(s.authenticate)
@@ -183,7 +188,7 @@
 		return request, failure
 	}
 	request.Version = r.Header.Get(HeaderVersion)
-	request.Body, failure = readBody(w, r)
+	request.Body, failure = s.readBody(w, r)
 	return request, failure
 }
 
@@ -216,12 +221,19 @@
 		"the organisation exceeds its request limit", "retry later").WithRetryAt(at)
 }
 
-// readBody reads the whole body, up to maxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *contract.Failure) {
+// readBody reads the whole body, up to maxBodyBytes, until EndRequests.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *contract.Failure) {
+	controller := http.NewResponseController(w)
+	// It fails only on a closed connection.
+	unlink := context.AfterFunc(s.ending, func() { _ = controller.SetReadDeadline(s.config.Now()) })
+	defer unlink()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err == nil {
 		return body, nil
 	}
+	if s.ending.Err() != nil {
+		return nil, contract.AsFailure(context.Cause(s.ending))
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, contract.NewFailure(contract.KindTooLarge,
--- a/entryd/httpapi/service.go
+++ b/entryd/httpapi/service.go
@@ -1,7 +1,6 @@
 package httpapi
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,11 +44,14 @@
 		return
 	}
 	repeatable, failure := isRepeatable(r)
+	if failure == nil {
+		failure = s.refuseOutlasting(request.Deadline)
+	}
 	if failure != nil {
 		s.writeRefusal(w, r, failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	ctx, cancel := s.requestContext(r, request.Deadline)
 	defer cancel()
 	var result dispatch.Result
 	if repeatable {
--- a/proofs/stops/stops_test.go
+++ b/proofs/stops/stops_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +21,81 @@
 	stream      = `{"model":"` + model + `","prompt":"p","stream":true}`
 )
 
+// TestStopOfEntryBesideSilentEnginesAnswersEverything guards against an entry that ends at the end of its stop time without
+// an answer to requests that it has accepted.
+func TestStopOfEntryBesideSilentEnginesAnswersEverything(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	drafts := &engine{}
+	drafts.run = func(r *http.Request, _ string, events func(int, int)) {
+		events(0, 2)
+		<-r.Context().Done()
+	}
+	calls := &engine{}
+	f.startTarget("drafts", "draft", model, "5s", drafts)
+	f.startTarget("calls", "service", service, "5s", calls)
+	entry := f.startEntry("entry", "3s")
+	entry.awaitStatus(http.StatusOK)
+	entry.awaitTargets(2)
+	reserved := entry.send("POST", "/v1/reservations", `{"service":"`+service+`"}`)
+	is.Equal(reserved.status, http.StatusCreated)
+
+	begun := entry.sendAsync("POST", completions, stream)
+	running := map[string]<-chan response{
+		"draft":             entry.sendAsync("POST", completions, draft),
+		"read":              entry.sendAsync("GET", call, ""),
+		"call":              entry.sendAsync("POST", call, "{}"),
+		"call with key":     entry.sendAsync("POST", call, "{}", "Idempotency-Key", "k"),
+		"call, reservation": entry.sendAsync("POST", call, "{}", "Camphormill-Reservation", reserved.Reservation),
+	}
+	incomplete := entry.sendIncomplete(is)
+	eventually(t, "engines have not got all", func() bool { return drafts.runs() == 2 && calls.runs() == 4 })
+	entry.signal()
+	entry.awaitStatus(http.StatusServiceUnavailable)
+
+	refused := entry.send("POST", completions, draft, "Camphormill-Timeout-Ms", longTimeout)
+	is.NoErr(refused.err)
+	is.Equal([]string{refused.Outcome, refused.Kind}, []string{"not_run", "leaving"})
+	is.True(!refused.RetryAt.IsZero())
+	is.Equal(drafts.runs(), 2)
+	refused = entry.send("POST", call, "{}", "Camphormill-Timeout-Ms", longTimeout, "Idempotency-Key", "k2")
+	is.Equal([]string{refused.Outcome, refused.Kind}, []string{"unknown", "leaving"})
+	accepted := entry.send("POST", call, "{}", "Camphormill-Timeout-Ms", "300")
+	is.Equal(accepted.Outcome, "unknown") // at its deadline
+	is.Equal(calls.runs(), 5)
+
+	for name, answer := range running {
+		got := <-answer
+		t.Log(name, got.status, got.Kind)
+		is.NoErr(got.err)
+		is.True(got.status >= http.StatusInternalServerError)
+		is.Equal([]string{got.Outcome, got.Kind}, []string{"unknown", "leaving"})
+	}
+	got := <-begun
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.err != nil) // no regular end
+	is.Equal(strings.Count(got.body, `"text":"w`), 2)
+	is.True(strings.Contains(got.body, "event: error"))
+	is.True(strings.Contains(<-incomplete, `"outcome":"not_run","kind":"leaving"`))
+	is.Equal(entry.exitCode(), 1)
+}
+
+// sendIncomplete sends a request without the end of its body, and returns the response.
+func (d *daemon) sendIncomplete(is *is.I) <-chan string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(d.callers, "http://"))
+	is.NoErr(err)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-of-muscat\r\nCamphormill-Timeout-Ms: %s\r\nContent-Length: 100\r\n\r\n{",
+		completions, longTimeout)
+	is.NoErr(err)
+	got := make(chan string, 1)
+	go func() {
+		defer func() { _ = conn.Close() }()
+		raw, _ := io.ReadAll(conn)
+		got <- string(raw)
+	}()
+	return got
+}
+
 // TestStopsOfTargetsLeaveRequestsToOthers guards against targets that end at the end of their stop time without an answer to
 // what they run, so that the entry takes their ends for deaths by the request and quarantines it.
 func TestStopsOfTargetsLeaveRequestsToOthers(t *testing.T) {
