A body that doesn't come to its end is answered at its request's deadline

What callers saw: a request of the project's own protocol whose body stops short of its end had no answer, whatever its timeout, and its connection stayed open; a stop of the entry waited for it until the end of the stop time.

Cause: the deadline bounded the request only once its body had been read.

Now reading the body ends at the deadline: "deadline", not run, and the connection is closed.

Evidence: TestIncompleteBodyIsAnsweredAtDeadline; before, no answer to a request with a timeout of 100 ms came within 10 s.

--- a/entryd/httpapi/httpapi.go
+++ b/entryd/httpapi/httpapi.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -188,7 +189,7 @@
 		return request, failure
 	}
 	request.Version = r.Header.Get(HeaderVersion)
-	request.Body, failure = s.readBody(w, r)
+	request.Body, failure = s.readBody(w, r, deadline)
 	return request, failure
 }
 
@@ -221,19 +222,24 @@
 		"the organisation exceeds its request limit", "retry later").WithRetryAt(at)
 }
 
-// readBody reads the whole body, up to maxBodyBytes, until EndRequests.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *contract.Failure) {
+// readBody reads the whole body, up to maxBodyBytes, until the deadline or EndRequests.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, *contract.Failure) {
 	controller := http.NewResponseController(w)
-	// It fails only on a closed connection.
+	_ = controller.SetReadDeadline(deadline) // fails only on a closed connection
 	unlink := context.AfterFunc(s.ending, func() { _ = controller.SetReadDeadline(s.config.Now()) })
 	defer unlink()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	if s.ending.Err() != nil {
 		return nil, contract.AsFailure(context.Cause(s.ending))
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, contract.NewFailure(contract.KindDeadline,
+			"the deadline passed before the whole body had come", "send the body faster or allow more time").WithRetryAt(s.config.Now())
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, contract.NewFailure(contract.KindTooLarge,
