A frozen entry doesn't hold up the stop of a target daemon

Cause: the notice that a target leaves was waited for however long its writing took, also beyond the context of the stop. A write to a peer that doesn't read lasts 3 s, and writes to one link wait for each other, so beside a frozen entry the stop could go on past its time.

Now Server.NotifyAll returns when its context ends.

Evidence: TestFrozenPeerDoesNotHoldUpNotice; before, the notice was still being sent after 2 s with a context of 50 ms. Callers have not been seen to lose anything by it.

--- a/parts/link/server.go
+++ b/parts/link/server.go
@@ -60,7 +60,7 @@
 }
 
 // NotifyAll sends a notification to every connected peer and waits until all are
-// written. It ignores errors.
+// written or ctx ends. It ignores errors.
 func (s *Server) NotifyAll(ctx context.Context, method string, params any) {
 	s.mu.Lock()
 	conns := make([]*Conn, 0, len(s.conns))
@@ -72,7 +72,15 @@
 	for _, c := range conns {
 		wg.Go(func() { _ = c.Notify(ctx, method, params) }) // a lost peer detects the loss itself
 	}
-	wg.Wait()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		wg.Wait()
+	}()
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
 }
 
 // Drain waits until no call is in flight, or returns the error of ctx when that ends.
