An entry that is stopped during its start doesn't become ready

What operators saw: after a SIGTERM to an entry that had no configuration or host list yet, /readyz went from "leaving" to 200 when both had come, until the process ended. Address answers left it out all the same.

Cause: the entry became ready with the last thing that it needs, whether it was leaving or not.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -253,7 +253,7 @@
 }
 
 // markAvailable records that something the entry needs is available. When nothing is
-// missing it makes the entry ready; the next record sent to the peers reports this, and
+// missing it makes the entry ready, unless that is leaving; the next record sent to the peers reports this, and
 // the entry then appears in address answers.
 func markAvailable(k *kernel.Kernel, what string) {
 	if kernel.Get[*entryState](k, serviceEntryState).markAvailable(what) {
@@ -303,8 +303,8 @@
 		defer cancel()
 		cutOff, _ := work.Deadline()
 		kernel.Get[*httpapi.Server](k, serviceHTTPAPI).StartDrain(cutOff)
-		kernel.Get[*daemon.Readiness](k, serviceReadiness).NotReady("leaving")
 		kernel.Get[*entryState](k, serviceEntryState).setLeaving()
+		kernel.Get[*daemon.Readiness](k, serviceReadiness).NotReady("leaving")
 		kernel.Get[*peers.Peers](k, servicePeers).AnnounceNow(work)
 		log.Info().Msg("removed from address answers; serving until cached addresses expire")
 		timer := time.NewTimer(time.Duration(s.AddressTTL))
--- a/entryd/command/settings_test.go
+++ b/entryd/command/settings_test.go
@@ -56,3 +56,13 @@
 	entry.setLeaving()
 	is.Equal(len(callerAddresses([]membership.Record{entry.record(0, 1)}, "a")), 0)
 }
+
+// TestLeavingEntryDoesNotBecomeReady guards against an entry that is stopped during its start and reports that it is ready when
+// its configuration comes.
+func TestLeavingEntryDoesNotBecomeReady(t *testing.T) {
+	is := is.New(t)
+	entry := newEntryState(Defaults())
+	is.Equal(entry.markAvailable(needHostList), false)
+	entry.setLeaving()
+	is.Equal(entry.markAvailable(needConfiguration), false)
+}
--- a/entryd/command/state.go
+++ b/entryd/command/state.go
@@ -70,7 +70,7 @@
 )
 
 // markAvailable records that something the entry needs is available, and reports
-// whether it was the last thing missing.
+// whether it was the last thing missing and the entry is not leaving.
 func (e *entryState) markAvailable(what string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -78,7 +78,7 @@
 		return false
 	}
 	delete(e.missing, what)
-	return len(e.missing) == 0
+	return len(e.missing) == 0 && !e.leaving
 }
 
 // setLeaving marks the entry as leaving.
--- a/proofs/stops/fleet_test.go
+++ b/proofs/stops/fleet_test.go
@@ -59,8 +59,9 @@
 	dir      string
 	platform string // URL
 
-	mu    sync.Mutex
-	hosts []platform.Host
+	mu        sync.Mutex
+	hosts     []platform.Host
+	hostsHeld bool // the host list can't be read
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -71,12 +72,23 @@
 	router.Get("/v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if f.hostsHeld {
+			http.Error(w, "not read yet", http.StatusServiceUnavailable)
+			return
+		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"hosts": f.hosts})
 	})
 	f.platform = f.serve(router)
 	return f
 }
 
+// holdHosts sets whether the host list can't be read.
+func (f *fleet) holdHosts(held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hostsHeld = held
+}
+
 // serve serves the handler and returns its URL.
 func (f *fleet) serve(h http.Handler) string {
 	server := httptest.NewServer(h)
@@ -165,12 +177,24 @@
 
 // readyStatus returns the status of /readyz, or 0 if there is none.
 func (d *daemon) readyStatus() int {
+	status, _ := d.ready()
+	return status
+}
+
+// readyReason returns the text of /readyz.
+func (d *daemon) readyReason() string {
+	_, reason := d.ready()
+	return reason
+}
+
+func (d *daemon) ready() (int, string) {
 	response, err := http.Get(d.operations + "/readyz")
 	if err != nil {
-		return 0
+		return 0, ""
 	}
-	_ = response.Body.Close()
-	return response.StatusCode
+	defer func() { _ = response.Body.Close() }()
+	raw, _ := io.ReadAll(response.Body)
+	return response.StatusCode, strings.TrimSpace(string(raw))
 }
 
 func eventually(t *testing.T, message string, condition func() bool) {
--- a/proofs/stops/stops_test.go
+++ b/proofs/stops/stops_test.go
@@ -207,3 +207,25 @@
 	is.True(whole >= 8)
 	t.Log("whole", whole, "refused", refused)
 }
+
+// TestStopDuringStartEndsUnready guards against an entry that is stopped before it is ready and that becomes ready during its stop
+// or doesn't end.
+func TestStopDuringStartEndsUnready(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.holdHosts(true)
+	entry := f.startEntry("entry", "20s")
+	entry.awaitStatus(http.StatusServiceUnavailable)
+	early := entry.send("POST", completions, draft, "Camphormill-Timeout-Ms", "1000")
+	if early.err == nil { // it listens for callers
+		is.Equal([]string{early.Outcome, early.Kind}, []string{"not_run", "not_ready"})
+	}
+	entry.signal()
+	eventually(t, "entry does not leave", func() bool { return entry.readyReason() == "leaving" })
+	f.holdHosts(false)
+	for status := entry.readyStatus(); status != 0; status = entry.readyStatus() {
+		is.Equal(status, http.StatusServiceUnavailable)
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(entry.exitCode(), 0)
+}
