--- a/entryd/command/settings_test.go
+++ b/entryd/command/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -66,3 +67,13 @@
 	entry.setLeaving()
 	is.Equal(entry.markAvailable(needConfiguration), false)
 }
+
+func TestStopTimeoutMustCoverAddressTTL(t *testing.T) {
+	is := is.New(t)
+	for stopWithin, want := range map[string]bool{"10s": true, "11s": true, "12s": false} { // the default address_ttl is 10s
+		s := Defaults()
+		faults, _ := settings.Parse("f", []byte(`{"stop_within": "`+stopWithin+`"}`), &s).(settings.Faults)
+		refused := slices.ContainsFunc(faults, func(f settings.Fault) bool { return f.Field == "stop_within" })
+		is.Equal(refused, want)
+	}
+}
