--- a/proofs/stops/stops_test.go
+++ b/proofs/stops/stops_test.go
@@ -229,3 +229,51 @@
 	}
 	is.Equal(entry.exitCode(), 0)
 }
+
+// TestOverlappingStopsBesideSilentEnginesAnswerEverything guards against requests that end without an answer when their entry and
+// their targets stop at once, whichever has less time for it.
+func TestOverlappingStopsBesideSilentEnginesAnswerEverything(t *testing.T) {
+	cases := map[string]struct {
+		entry, targets string // their stop timeouts
+		entryExit      int
+	}{
+		"entry first":   {"3s", "5s", 1},
+		"targets first": {"20s", "4s", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			drafts, calls := &engine{}, &engine{}
+			drafts.run = func(r *http.Request, _ string, events func(int, int)) {
+				events(0, 2)
+				<-r.Context().Done()
+			}
+			targets := []*daemon{f.startTarget("drafts", "draft", model, c.targets, drafts), f.startTarget("calls", "service", service, c.targets, calls)}
+			entry := f.startEntry("entry", c.entry)
+			entry.awaitStatus(http.StatusOK)
+			entry.awaitTargets(2)
+			begun := entry.sendAsync("POST", completions, stream)
+			answers := []<-chan response{
+				entry.sendAsync("POST", completions, draft),
+				entry.sendAsync("POST", call, "{}"),
+				entry.sendAsync("POST", call, "{}", "Idempotency-Key", "k"),
+			}
+			eventually(t, "engines have not got all", func() bool { return drafts.runs() == 2 && calls.runs() == 2 })
+			for _, d := range append(targets, entry) {
+				d.signal()
+			}
+			for _, answer := range answers {
+				got := <-answer
+				is.NoErr(got.err)
+				is.Equal([]string{got.Outcome, got.Kind}, []string{"unknown", "leaving"})
+			}
+			got := <-begun
+			is.True(got.err != nil) // no regular end
+			is.True(strings.Contains(got.body, "event: error"))
+			is.Equal(entry.exitCode(), c.entryExit)
+			is.Equal(targets[1].exitCode(), 1) // nothing but its end ends a call of a silent service
+			targets[0].exitCode()
+		})
+	}
+}
