--- a/parts/daemon/daemon.go
+++ b/parts/daemon/daemon.go
@@ -25,11 +25,15 @@
 // headerTimeout bounds the time that a client takes to send its headers.
 const headerTimeout = 5 * time.Second
 
-// DefaultStopTimeout bounds a graceful shutdown, which waits for the requests in flight.
-const DefaultStopTimeout = 10 * time.Minute
-
-// closeReserve is the part of the time for a shutdown that an HTTP service leaves to the services that stop after it.
-const closeReserve = 100 * time.Millisecond
+const (
+	// DefaultStopTimeout bounds a graceful shutdown, which waits for the requests in flight.
+	DefaultStopTimeout = 10 * time.Minute
+	// StopReserve is the part of the stop time that is left when a daemon ends the requests that still run: for
+	// their answers, and for the end of the process.
+	StopReserve = time.Second
+	// closeReserve is the part of the stop time that an HTTP service leaves to the services that stop after it.
+	closeReserve = 100 * time.Millisecond
+)
 
 // NewLogger returns a logger for the daemon with the name. level is debug, info,
 // warn or error. Each part of the daemon logs through its own logger: see PartLogger.
@@ -141,6 +145,16 @@
 	return kernel.Service{Name: name, Needs: needs, Start: start, Stop: stop}
 }
 
+// WithStopReserve returns a context that ends StopReserve before the deadline of ctx, or with ctx if that has no
+// deadline.
+func WithStopReserve(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-StopReserve))
+}
+
 // Run starts the kernel, waits for SIGTERM, SIGINT or the end of ctx, and stops the
 // kernel within the timeout.
 func Run(ctx context.Context, k *kernel.Kernel, l zerolog.Logger, stopTimeout time.Duration) error {
