--- a/entryd/command/settings_test.go
+++ b/entryd/command/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -56,3 +57,23 @@
 	entry.setLeaving()
 	is.Equal(len(callerAddresses([]membership.Record{entry.record(0, 1)}, "a")), 0)
 }
+
+// TestLeavingEntryDoesNotBecomeReady guards against an entry that is stopped during its start and reports that it is ready when
+// its configuration comes.
+func TestLeavingEntryDoesNotBecomeReady(t *testing.T) {
+	is := is.New(t)
+	entry := newEntryState(Defaults())
+	is.Equal(entry.markAvailable(needHostList), false)
+	entry.setLeaving()
+	is.Equal(entry.markAvailable(needConfiguration), false)
+}
+
+func TestStopTimeoutMustCoverAddressTTL(t *testing.T) {
+	is := is.New(t)
+	for stopWithin, want := range map[string]bool{"10s": true, "11s": true, "12s": false} { // the default address_ttl is 10s
+		s := Defaults()
+		faults, _ := settings.Parse("f", []byte(`{"stop_within": "`+stopWithin+`"}`), &s).(settings.Faults)
+		refused := slices.ContainsFunc(faults, func(f settings.Fault) bool { return f.Field == "stop_within" })
+		is.Equal(refused, want)
+	}
+}
