Mesh: bound the hosts that datagrams name

Memory of a daemon grew with the names in datagrams, and each name could take kilobytes: no record was ever dropped. The known hosts are now 4,096 at most, and a record with a text of over 512 bytes is ignored. A host that is only listed by others finds no place in a full table; one of the directory takes the place of one that has never sent a message, and one that introduces itself also that of a silent one. A live host never gives way. The tests failed before (more than 8,192 hosts known, records of 10 KiB kept) and pass.

--- a/parts/mesh/join.go
+++ b/parts/mesh/join.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	for _, h := range hosts {
-		m.addHost(h, false)
+		m.addHost(h, fromDirectory)
 	}
 	m.joined.Store(true)
 	m.config.Log.Info().Int("hosts", len(hosts)).Msg("joined the fleet")
--- a/parts/mesh/mesh.go
+++ b/parts/mesh/mesh.go
@@ -152,10 +152,10 @@
 // is unknown and the message does not introduce it; the caller then drops the message.
 func (m *Mesh) recordSender(message Message) (Host, bool) {
 	for _, h := range message.Hosts {
-		m.addHost(h, false)
+		m.addHost(h, fromPeer)
 	}
 	if message.Host != nil {
-		m.addHost(*message.Host, true)
+		m.addHost(*message.Host, fromSelf)
 	}
 	if message.RequestHosts {
 		m.sendHosts(message.From)
@@ -184,10 +184,9 @@
 }
 
 // addHost adds a host to the peers. The host counts as alive once a message from it
-// arrives. fromSelf says that the host itself sent the record; only such a record
-// replaces a known one.
-func (m *Mesh) addHost(h Host, fromSelf bool) {
-	if h.Name == m.config.Self.Name || h.Name == "" {
+// arrives. Only a record that the host itself sent replaces a known one.
+func (m *Mesh) addHost(h Host, from origin) {
+	if h.Name == m.config.Self.Name || h.Name == "" || h.isOverlong() {
 		return
 	}
 	to, err := netip.ParseAddrPort(h.Address)
@@ -197,12 +196,16 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, known := m.peers[h.Name]; known && !fromSelf {
+	if _, known := m.peers[h.Name]; known && from != fromSelf {
 		return
 	}
 	p, known := m.peers[h.Name]
 	if !known {
-		p = &peer{learnedAt: m.config.Now()}
+		now := m.config.Now()
+		if !m.makeRoom(now, from) {
+			return
+		}
+		p = &peer{learnedAt: now}
 		m.peers[h.Name] = p
 		clear(m.members)
 	}
