Membership: bound the records that gossip names

An entry kept a record for each name in gossip until ten timeouts had passed, of any size, and queued every new one for the next round. The table now holds 4,096 records at most. The oldest give way, but not those of origins that the platform lists or that are live and in contact. Larger records than any daemon publishes are ignored. The records for the next round are kept by origin. The tests failed before (more than 4,096 records, records of 10 KiB kept) and pass.

--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,9 @@
 // maxMissedRefreshes is how many refreshes a peer may miss and still count as live.
 const maxMissedRefreshes = 3
 
+// maxPending bounds the records that wait for the next round. A full comparison carries the others.
+const maxPending = 4096
+
 // callTimeout bounds one call to a peer.
 const callTimeout = time.Second
 
@@ -75,10 +80,10 @@
 
 	mu          sync.Mutex
 	table       *membership.Table
-	pending     []membership.Record // records to send in the next round
-	seeds       map[string]string   // addresses by name, from the settings and the host list
-	sequence    int64               // of this daemon's last announced record
-	announced   membership.Record   // this daemon's own record, as last announced
+	pending     map[string]membership.Record // records to send in the next round, by origin
+	seeds       map[string]string            // addresses by name, from the settings and the host list
+	sequence    int64                        // of this daemon's last announced record
+	announced   membership.Record            // this daemon's own record, as last announced
 	announcedAt time.Time
 }
 
@@ -87,7 +92,7 @@
 	p := &Peers{
 		config: c,
 		table:  membership.NewTable(c.EntryName, maxMissedRefreshes*c.Refresh()),
-		seeds:  map[string]string{},
+		seeds:  map[string]string{}, pending: map[string]membership.Record{},
 	}
 	p.conns = &link.Cache{Dial: c.Dial, Methods: p.Methods}
 	return p
@@ -100,6 +105,7 @@
 	defer p.mu.Unlock()
 	if name != p.config.EntryName {
 		p.seeds[name] = address
+		p.table.Protect(name)
 	}
 }
 
@@ -164,7 +170,7 @@
 	record.Sequence = p.sequence
 	p.announced, p.announcedAt = record, now
 	p.table.Put(now, record)
-	p.pending = append(p.pending, record)
+	p.pending[record.Origin] = record
 }
 
 // AnnounceNow publishes a new record and sends it to all peers at once. The daemon
@@ -172,8 +178,7 @@
 func (p *Peers) AnnounceNow(ctx context.Context) {
 	p.announce(true)
 	p.mu.Lock()
-	pending := p.pending
-	p.pending = nil
+	pending := p.takePending()
 	p.mu.Unlock()
 	p.callAll(ctx, callTimeout, func(ctx context.Context, name, address string) {
 		p.exchange(ctx, name, address, p.newMessage(membership.GossipMessage{Records: pending}))
@@ -184,8 +189,7 @@
 // answer with all records that this daemon lacks.
 func (p *Peers) gossip(ctx context.Context, full bool) {
 	p.mu.Lock()
-	pending := p.pending
-	p.pending = nil
+	pending := p.takePending()
 	chosen := p.randomPeers()
 	e := membership.GossipMessage{Records: pending}
 	if full {
@@ -197,6 +201,13 @@
 	}
 }
 
+// takePending returns the records to send and forgets them. The caller holds the lock.
+func (p *Peers) takePending() []membership.Record {
+	pending := slices.Collect(maps.Values(p.pending))
+	clear(p.pending)
+	return pending
+}
+
 // randomPeers returns the addresses of a few random peers by name. The caller holds
 // the lock.
 func (p *Peers) randomPeers() map[string]string {
@@ -287,8 +298,8 @@
 	defer p.mu.Unlock()
 	now := p.config.Now()
 	for _, r := range records {
-		if r.Origin != p.config.EntryName && p.table.Put(now, r) {
-			p.pending = append(p.pending, r)
+		if r.Origin != p.config.EntryName && p.table.Put(now, r) && len(p.pending) < maxPending {
+			p.pending[r.Origin] = r
 		}
 	}
 }
--- a/parts/membership/membership.go
+++ b/parts/membership/membership.go
@@ -76,6 +76,8 @@
 type peer struct {
 	record       Record
 	lastReceived time.Time
+	// contacted is set once the origin itself has called or answered.
+	contacted bool
 	// suspect is set when the origin could not be reached. It is cleared by the
 	// next record of the origin or by direct contact.
 	suspect bool
@@ -86,24 +88,27 @@
 type Table struct {
 	self    string
 	records map[string]peer
-	timeout time.Duration
+	// protected holds the origins that the platform lists.
+	protected map[string]bool
+	timeout   time.Duration
 }
 
 // NewTable returns a table for the daemon named self. An origin counts as live until
 // the timeout has passed since its last new record or the last direct contact. The daemon
 // itself always counts as live once its record is stored.
 func NewTable(self string, timeout time.Duration) *Table {
-	return &Table{self: self, records: map[string]peer{}, timeout: timeout}
+	return &Table{self: self, records: map[string]peer{}, protected: map[string]bool{}, timeout: timeout}
 }
 
 // Put stores a record and reports whether it replaced an older one or was the first of
-// its origin. The record of this daemon is stored by Put only, because Merge ignores it.
+// its origin. It ignores a record of unusual size, and one of a new origin if makeRoom finds no room. The record of this
+// daemon is stored by Put only, because Merge ignores it.
 func (t *Table) Put(now time.Time, r Record) bool {
 	old, ok := t.records[r.Origin]
-	if ok && !r.newer(old.record) {
+	if (ok && !r.newer(old.record)) || r.isOverlong() || (!ok && !t.makeRoom(now)) {
 		return false
 	}
-	t.records[r.Origin] = peer{record: r, lastReceived: now}
+	t.records[r.Origin] = peer{record: r, lastReceived: now, contacted: old.contacted}
 	return true
 }
 
@@ -168,7 +173,7 @@
 // MarkAlive records direct contact with an origin, which proves that it is alive.
 func (t *Table) MarkAlive(now time.Time, origin string) {
 	if p, ok := t.records[origin]; ok {
-		p.lastReceived = now
+		p.lastReceived, p.contacted = now, true
 		p.suspect = false
 		t.records[origin] = p
 	}
