Quarantine: bound what peers report of one request, part or death

The lists bound the requests and the parts, but not the strikes of one request, the parts of one death or the names of incarnations, and a peer's strike lasted as long as the peer said. A request now has 16 strikes at most, a death 1,024 parts, a name 256 bytes, and a strike ends as early as one of the entry's own.

--- a/parts/quarantine/parts.go
+++ b/parts/quarantine/parts.go
@@ -29,6 +29,8 @@
 	maxPartsPerGeneration = 8192
 	// maxKeptSuspects bounds the parts with deaths that a new generation begins with.
 	maxKeptSuspects = 1024
+	// maxPartsOfDeath bounds the parts that are kept for one death, far above the number of parts of a request.
+	maxPartsOfDeath = 1024
 )
 
 // PartID identifies a part of a prompt that several requests for a service may share.
@@ -181,7 +183,7 @@
 // addDeath records a death of a part unless it is known or refuted by a later answer.
 func (l *PartList) addDeath(id PartID, d PartDeath) {
 	s := l.edit(id)
-	if !d.At.After(s.answeredAt) || s.hasDeath(d.Incarnation) {
+	if !d.At.After(s.answeredAt) || s.hasDeath(d.Incarnation) || len(d.Incarnation) > maxIncarnationBytes {
 		return
 	}
 	s.deaths = append(s.deaths, d)
@@ -193,6 +195,9 @@
 	if !known && len(l.partsByDeath) >= maxKeptSuspects {
 		l.dropClearedDeaths()
 	}
+	if len(parts) >= maxPartsOfDeath {
+		return
+	}
 	if known || len(l.partsByDeath) < maxKeptSuspects {
 		l.partsByDeath[d.Incarnation] = append(parts, id)
 	}
--- a/parts/quarantine/quarantine.go
+++ b/parts/quarantine/quarantine.go
@@ -22,6 +22,13 @@
 // memory.
 const maxFingerprints = 10000
 
+const (
+	// maxStrikes bounds the strikes of one fingerprint, of which two are enough to refuse it.
+	maxStrikes = 16
+	// maxIncarnationBytes bounds the name of an incarnation. Records with a longer one are ignored.
+	maxIncarnationBytes = 256
+)
+
 // Fingerprint returns a hash of the organisation, the model or service, and the body
 // of a request.
 func Fingerprint(organisation, modelOrService string, body []byte) uint64 {
@@ -60,9 +67,16 @@
 }
 
 // Merge adds a strike received from a peer, unless the incarnation already has one for
-// the request. The caller must set s.Until by its own clock. A new fingerprint is dropped while the list is full of live strikes.
+// the request. The caller must set s.Until by its own clock. A strike that would expire after strikeTTL expires then. A new
+// fingerprint is dropped while the list is full of live strikes, and so is a strike beyond maxStrikes.
 func (l *List) Merge(now time.Time, s Strike) {
+	if latest := now.Add(strikeTTL); s.Until.After(latest) {
+		s.Until = latest
+	}
 	live := l.live(now, s.Fingerprint)
+	if len(live) >= maxStrikes || len(s.Incarnation) > maxIncarnationBytes {
+		return
+	}
 	for _, known := range live {
 		if known.Incarnation == s.Incarnation {
 			return
