Leaders: bound what slot requests and reports name

The leader of a group queued every request that said it could wait, kept limits of any engine and evacuations of any zone, a report for each rank number, and forever who had requested a slot whose release was lost. Now 8,192 requests wait at most and others are refused; beside its own engines a leader keeps 4,096 limits, and 256 zones; reports of no rank of the group and slot requests with texts of over 1 KiB are ignored; requesters without a slot are forgotten.

--- /dev/null
+++ b/parts/rankscheduler/capacity.go
@@ -0,0 +1,35 @@
+package rankscheduler
+
+const (
+	// maxWaiting bounds the queued requests of a group.
+	maxWaiting = 8192
+	// maxLimits and maxEvacuated bound the engines and zones that requests name, besides the engines of the group.
+	maxLimits    = 4096
+	maxEvacuated = 256
+	// maxNameBytes bounds the name of an engine or a zone.
+	maxNameBytes = 512
+)
+
+// Holds reports whether the request runs or is queued.
+func (s *Scheduler) Holds(id string) bool {
+	if _, ok := s.assignments[id]; ok {
+		return true
+	}
+	_, ok := s.waiting[id]
+	return ok
+}
+
+// takesLimit reports whether a limit of the engine is kept.
+func (s *Scheduler) takesLimit(engine string) bool {
+	_, known := s.limits[engine]
+	if _, isRank := s.ranks[engine]; known || isRank {
+		return true
+	}
+	return len(engine) <= maxNameBytes && len(s.limits) < maxLimits
+}
+
+// takesEvacuation reports whether the evacuation of the zone is kept.
+func (s *Scheduler) takesEvacuation(zone string) bool {
+	_, known := s.evacuated[zone]
+	return known || (len(zone) <= maxNameBytes && len(s.evacuated) < maxEvacuated)
+}
--- a/parts/rankscheduler/evacuation.go
+++ b/parts/rankscheduler/evacuation.go
@@ -14,6 +14,9 @@
 // evacuationTTL.
 func (s *Scheduler) SetEvacuated(now time.Time, zones []string) {
 	for _, zone := range zones {
+		if !s.takesEvacuation(zone) {
+			continue
+		}
 		s.evacuated[zone] = now.Add(evacuationTTL)
 	}
 }
--- a/parts/rankscheduler/limits.go
+++ b/parts/rankscheduler/limits.go
@@ -21,6 +21,9 @@
 
 // SetLimit sets the requests per second that an engine takes. It holds for limitTTL.
 func (s *Scheduler) SetLimit(now time.Time, engine string, perSecond float64) {
+	if !s.takesLimit(engine) {
+		return
+	}
 	l, ok := s.limits[engine]
 	if !ok || !l.expires.After(now) {
 		l.bucket = limit.NewBucket(now, perSecond)
--- a/parts/rankscheduler/rankscheduler.go
+++ b/parts/rankscheduler/rankscheduler.go
@@ -296,6 +296,9 @@
 	if wait := s.limitsAllowIn(now); wait > 0 {
 		return s.refuse(now, r, now.Add(wait))
 	}
+	if len(s.waiting) >= maxWaiting {
+		return s.refuse(now, r, now.Add(maxRetryAfter))
+	}
 	queued := s.queueRequest(now, r)
 	if s.byPriority(r) && s.outlastsCaller(now, r, queued.Work) {
 		return s.refuse(now, r, now)
--- a/targetd/rankagent/election.go
+++ b/targetd/rankagent/election.go
@@ -143,7 +143,7 @@
 	a.announced = mesh.LeaderAnnouncement{Service: a.config.Service, Group: group, Fence: fence, Rank: a.rank.Rank}
 	a.announcedAt = a.config.Now()
 	a.leaderHost = a.config.Self.Name
-	a.leading = newLeader(a.config, group, a.rank.Rank, fence, *settings, a.layouts)
+	a.leading = newLeader(a.config, group, a.rank.Rank, a.rank.Size, fence, *settings, a.layouts)
 	a.leadUntil = started.Add(leaderTimeout(a.rank.Size))
 	a.config.Log.Info().Str("group", group).Int64("fence", int64(fence)).Dur("silent", silent).
 		Int64("old_fence", int64(previous.Fence)).Int("old_leader_rank", previous.Rank).Msg("leading the group")
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -1,6 +1,7 @@
 package rankagent
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	// activationTimeout bounds the wait, after a switch, for ranks that report neither that
 	// they are armed nor that they run the new map.
 	activationTimeout = time.Second
+	// maxTextBytes bounds each text of a slot request, and maxExcludedEngines the engines that it excludes.
+	maxTextBytes       = 1024
+	maxExcludedEngines = 256
 	// fencesPerSwitch is two: one fence to run the switch and one to roll it back.
 	fencesPerSwitch = 2
 )
@@ -59,6 +63,7 @@
 	config       Config
 	group        string
 	ownRank      int
+	size         int // number of ranks
 	settings     routes.Engine
 	knownLayouts *layoutStore
 	log          zerolog.Logger
@@ -106,9 +111,9 @@
 	otherGroup    map[string]bool      // hosts whose engines belonged to another group at the last direct read, by name
 }
 
-func newLeader(c Config, group string, rank int, fence mapswitch.Fence, settings routes.Engine, layouts *layoutStore) *leader {
+func newLeader(c Config, group string, rank, size int, fence mapswitch.Fence, settings routes.Engine, layouts *layoutStore) *leader {
 	return &leader{
-		config: c, group: group, ownRank: rank, settings: settings, knownLayouts: layouts, orderLink: linkShare{bytesPerSecond: orderLinkShare * c.LinkBytesPerSecond}, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(c.Admission),
+		config: c, group: group, ownRank: rank, size: size, settings: settings, knownLayouts: layouts, orderLink: linkShare{bytesPerSecond: orderLinkShare * c.LinkBytesPerSecond}, claimFence: fence, nextFence: fence, ranks: map[int]rankReport{}, scheduler: rankscheduler.New(c.Admission),
 		requesterHosts: map[string]string{}, sentOrders: map[int]sentOrder{}, directReadAt: map[string]time.Time{}, otherGroup: map[string]bool{}, startedAt: c.Now(), log: c.Log.With().Int64("fence", int64(fence)).Str("group", group).Logger(),
 	}
 }
@@ -260,8 +265,11 @@
 	}
 }
 
-// placeRequest assigns a request to a rank, queues it or refuses it.
+// placeRequest assigns a request to a rank, queues it or refuses it. It ignores a request that is larger than any of an entry.
 func (l *leader) placeRequest(from mesh.Host, r mesh.SlotRequest) {
+	if isOverlong(r) {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
@@ -272,14 +280,15 @@
 	_, repeated := l.requesterHosts[r.ID]
 	l.requesterHosts[r.ID] = from.Name
 	decision := l.scheduler.Offer(now, newRequest(now, from, r))
-	l.sendDecisions(l.scheduler.TakeDisplaced())
+	decisions := l.scheduler.TakeDisplaced()
 	if repeated && decision.Queued {
+		l.sendDecisions(decisions)
 		// The host repeats its request for a slot in case the first reply was lost. The first
 		// decision has been logged already.
 		l.config.Mesh.Send(from.Name, mesh.Message{SlotResponse: &mesh.SlotResponse{ID: r.ID, Wait: true}})
 		return
 	}
-	l.sendDecisions([]rankscheduler.Decision{decision})
+	l.sendDecisions(append(decisions, decision))
 }
 
 // newRequest returns the scheduler's request of a slot request that has just arrived.
@@ -321,6 +330,28 @@
 			Int("running", l.scheduler.Running()).Int("waiting", l.scheduler.Waiting()).Msg("request placement decided")
 		l.config.Mesh.Send(host, mesh.Message{SlotResponse: &reply})
 	}
+	l.forgetEndedRequests()
+}
+
+// forgetEndedRequests forgets who requested the slots that were freed without a release, which may have been lost.
+func (l *leader) forgetEndedRequests() {
+	if len(l.requesterHosts) <= l.scheduler.Running()+l.scheduler.Waiting() {
+		return
+	}
+	maps.DeleteFunc(l.requesterHosts, func(id, _ string) bool { return !l.scheduler.Holds(id) })
+}
+
+// isOverlong reports whether a slot request is larger than any of an entry.
+func isOverlong(r mesh.SlotRequest) bool {
+	if len(r.ExcludedEngines) > maxExcludedEngines {
+		return true
+	}
+	for _, text := range append([]string{r.ID, r.Organisation, r.Service}, r.ExcludedEngines...) {
+		if len(text) > maxTextBytes {
+			return true
+		}
+	}
+	return false
 }
 
 // retryIn returns when a refused request should be retried, which is not before the group should be
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -19,7 +19,7 @@
 	direct     bool // read by the leader from the engine, because the rank's daemon is silent
 }
 
-// handleReport stores a report that a rank's daemon sent. A report of another group is ignored,
+// handleReport stores a report that a rank's daemon sent. A report of another group or of no rank of it is ignored,
 // and one whose sender follows a higher fence marks this leader as superseded.
 func (l *leader) handleReport(host string, r mesh.RankReport) {
 	l.mu.Lock()
@@ -28,6 +28,9 @@
 		l.superseded = l.superseded || (r.Group == l.group && r.Fence > l.claimFence)
 		return
 	}
+	if r.Rank < 0 || r.Rank >= l.size {
+		return
+	}
 	now := l.config.Now()
 	l.addChoices(r.Choices)
 	l.storeReport(now, rankReport{host: host, rank: r, receivedAt: now})
