Reservations: bound the bytes of the answers that are kept

A target kept the answers of up to 100,000 reserved calls, each of up to 8 MiB, for as long as the reservations are valid. It now starts no further reserved call while the kept answers take a fifth of memory_mb (256 MiB without settings). Such a call is answered as it is when the number of reservations is at its maximum: outcome unknown, with the time to send it again under the same reservation. Answers that are kept stay.

--- a/parts/reservation/ledger.go
+++ b/parts/reservation/ledger.go
@@ -42,6 +42,8 @@
 	target      string
 	incarnation string
 	capacity    int
+	maxBytes    int
+	bytes       int           // of the retained answers
 	maxAhead    time.Duration // maximum time from now to a deadline
 	latestTime  time.Time     // latest time seen
 	entries     map[string]*entry
@@ -54,14 +56,22 @@
 	Incarnation string
 	Capacity    int           // maximum number of retained reservations
 	MaxAhead    time.Duration // maximum time from now to a deadline
+	// MaxAnswerBytes is the size of the retained answers from which no further call is started; 0 is 256 MiB.
+	MaxAnswerBytes int
 }
 
+const defaultMaxAnswerBytes = 256 << 20
+
 // NewLedger returns an empty ledger.
 func NewLedger(c LedgerConfig) *Ledger {
+	if c.MaxAnswerBytes <= 0 {
+		c.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
 	return &Ledger{
 		target:      c.Target,
 		incarnation: c.Incarnation,
 		capacity:    c.Capacity,
+		maxBytes:    c.MaxAnswerBytes,
 		maxAhead:    c.MaxAhead,
 		entries:     map[string]*entry{},
 	}
@@ -76,6 +86,7 @@
 	}
 	for len(l.expiry) > 0 && !l.expiry[0].deadline.After(l.latestTime) {
 		expired := heap.Pop(&l.expiry).(expiryItem)
+		l.bytes -= len(l.entries[expired.id].answer.Body)
 		delete(l.entries, expired.id)
 	}
 	return l.latestTime
@@ -138,18 +149,18 @@
 }
 
 func (l *Ledger) start(c Claims, fingerprint uint64) (Decision, contract.Answer) {
-	if !l.record(c, phaseRunning, fingerprint) {
+	if l.bytes >= l.maxBytes || !l.record(c, phaseRunning, fingerprint) {
 		return DecisionRefuse, l.fullAnswer()
 	}
 	return DecisionStart, contract.Answer{}
 }
 
-// fullAnswer is the answer when the ledger is at capacity. Its outcome is unknown and not
+// fullAnswer is the answer when the ledger is at capacity or retains too many bytes. Its outcome is unknown and not
 // "not run", because the ledger cannot record the refusal: a later call with the same
 // reservation may start once an entry has expired.
 func (l *Ledger) fullAnswer() contract.Answer {
 	return contract.UnknownAnswer(contract.NewFailure(contract.KindOverloaded,
-		"the target retains its maximum number of reservations",
+		"the target retains as many reservations, or as many bytes of their answers, as it may",
 		"send the call again later with the same reservation").WithRetryAt(l.expiry[0].deadline))
 }
 
@@ -178,6 +189,7 @@
 	}
 	e.phase = phaseDone
 	e.answer = answer
+	l.bytes += len(answer.Body)
 }
 
 // Settle returns the state of a reservation. If its call has not started, Settle
--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -42,6 +42,10 @@
 	servicePlannerLoop     = "planning"
 )
 
+// answerShare is the share of the memory for the answers of reserved calls, which are kept for as long as the reservations
+// are valid.
+const answerShare = 0.2
+
 // newKernel returns a kernel with the services of targetd.
 func newKernel(s Settings, log zerolog.Logger) *kernel.Kernel {
 	k := kernel.New()
@@ -80,6 +84,7 @@
 			Ledger: reservation.NewLedger(reservation.LedgerConfig{
 				Target: s.Name, Incarnation: incarnation,
 				Capacity: s.MaxReservations, MaxAhead: time.Duration(s.MaxReservationWindow),
+				MaxAnswerBytes: int(answerShare * s.MemoryMB * (1 << 20)),
 			}),
 			Work:   withWorkMetrics(s, kernel.Get[*metrics.Set](k, serviceMetrics), newWork(s)),
 			Now:    time.Now,
