Entries: bound the targets and groups that peers name

An entry kept the limit of every target that a peer named, counted for every target that one asked for, and kept a leader for every service and group, with names of any length.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -174,6 +174,10 @@
 	s.slots = relay.NewSlotClient(relay.SlotClientConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "places")})
 	s.limits = relay.NewLimits(relay.LimitsConfig{
 		Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits"), ColdRateFactor: relay.ColdRateFactor(c.ColdOverage),
+		Registered: func(target string) bool {
+			_, ok := s.view.Targets().Target(target)
+			return ok
+		},
 	})
 	s.client = httpclient.New(httpclient.Config{
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -39,6 +39,8 @@
 	Mesh *mesh.Mesh
 	Now  func() time.Time
 	Log  zerolog.Logger
+	// Registered reports whether there is a target with the ID. If it is nil, all count as registered.
+	Registered func(target string) bool
 	// ColdRateFactor is the share of the published rate of cold targets that all entries use, as the
 	// function of this name returns it. Zero counts as 1.
 	ColdRateFactor float64
@@ -114,6 +116,9 @@
 		l.forget(target)
 		return
 	}
+	if !takesName(l, l.named, target) {
+		return
+	}
 	l.named[target] = namedLimit{perSecond: perSecond, learnedAt: l.config.Now()}
 }
 
@@ -324,6 +329,9 @@
 	if _, ok := l.named[request.Target]; !ok && !request.Cold {
 		l.set(request.Target, request.PerSecond) // the message that told the others was lost
 	}
+	if !takesName(l, l.counted, request.Target) {
+		return mesh.LimitResponse{ID: request.ID, RetryAfterMS: int(askSpacing.Milliseconds())}
+	}
 	b, ok := l.counted[request.Target]
 	if !ok {
 		b = limit.NewBucket(now, request.PerSecond)
--- a/entryd/relay/slots.go
+++ b/entryd/relay/slots.go
@@ -48,6 +48,8 @@
 
 	mu      sync.Mutex
 	leaders map[string]map[string]groupLeader // by service and group
+	groups  int                               // number of leaders
+	sweptAt time.Time                         // when silent groups were last looked for
 	pending map[string]chan mesh.SlotResponse // by ID of the slot request that waits for a response
 	held    map[string]*heldSlot              // by ID of the slot request
 }
@@ -159,13 +161,19 @@
 func (c *SlotClient) recordLeader(from mesh.Host, announcement mesh.LeaderAnnouncement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.config.Now()
+	if !c.takesGroup(now, announcement) {
+		return
+	}
 	groups := c.leaders[announcement.Service]
 	if groups == nil {
 		groups = map[string]groupLeader{}
 		c.leaders[announcement.Service] = groups
 	}
-	previous := groups[announcement.Group]
-	now := c.config.Now()
+	previous, known := groups[announcement.Group]
+	if !known {
+		c.groups++
+	}
 	if announcement.Fence < previous.fence && now.Sub(previous.lastHeardAt) < leaderTimeout {
 		return
 	}
@@ -177,11 +185,7 @@
 		host: from.Name, fence: announcement.Fence, open: announcement.Open, load: announcement.Load, slowEngines: announcement.SlowEngines, lastHeardAt: now,
 		opensAt: now.Add(time.Duration(announcement.OpensInMS) * time.Millisecond),
 	}
-	for group, leader := range groups { // a group that no longer exists
-		if now.Sub(leader.lastHeardAt) > groupTTL {
-			delete(groups, group)
-		}
-	}
+	c.dropSilent(now, groups)
 }
 
 // Fenced reports whether a leader with a higher fencing token is known for the group.
