--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -18,6 +18,7 @@
 
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
@@ -92,7 +93,11 @@
 	ColdOverage     float64          // factor of the published rate that a cold target takes for a second; 0: not known
 	StopTimeout     time.Duration    // how long a planned stop may take
 	RetryLimit      limit.RetryLimit // of all entries together, for each service
-	Log             zerolog.Logger
+	// Budget bounds what callers make the process hold.
+	Budget *bytebudget.Budget
+	// Shares are the connections that each server may have open.
+	Shares daemon.Shares
+	Log    zerolog.Logger
 }
 
 // Server is the state of a running entry.
@@ -125,11 +130,12 @@
 	registerLoop("board", func(ctx context.Context) { s.view.Run(ctx) }) // the view of the platform's store
 	registerLoop("beats", s.runHeartbeats)
 	readiness := daemon.NewReadiness("")
-	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler {
+	operations := daemon.Limits{Connections: c.Shares.Operations, Budget: c.Budget}
+	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler {
 		return daemon.NewOperationsRouter(set, readiness)
 	}))
-	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
-	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
+	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
+	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, daemon.Limits{Connections: c.Shares.Directory, Budget: c.Budget}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
 	k.Register(s.callersService())
 }
 
@@ -184,7 +190,7 @@
 		Match: c.MatchResponse, Now: time.Now,
 	})
 	s.relay = relay.New(relay.Config{
-		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
+		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Budget: c.Budget, Now: time.Now,
 		MaxProofAge: s.maxProofAge(), RetryLimit: c.RetryLimit, EntryCount: s.entryCount, SteadyClock: freshness.Now,
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnRetry: s.metrics.countRetry, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
@@ -368,7 +374,8 @@
 func (s *Server) callersService() kernel.Service {
 	server := daemon.NewServer(&http.Server{
 		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, DisableGeneralOptionsHandler: true,
-	})
+	}, daemon.Limits{Connections: s.config.Shares.Callers, Budget: s.config.Budget})
+	s.metrics.observeServer(server, s.config.Budget)
 	start := func(context.Context, *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.config.CallersAddress)
 		if err != nil {
@@ -384,7 +391,10 @@
 	stop := func(ctx context.Context) error {
 		startedAt := time.Now()
 		deadline := startedAt.Add(s.config.StopTimeout - exitReserve)
-		s.drain(ctx, relay.Drain{CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime)})
+		s.drain(ctx, relay.Drain{
+			StartedAt: startedAt, CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime),
+			OthersReady: func() bool { return len(s.mesh.ReadyEntries()) > 0 },
+		})
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		if err := server.Stop(ctx); err != nil {
--- a/entryd/relay/draining.go
+++ b/entryd/relay/draining.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"camphormill.dev/parts/routes"
+)
 
 const (
 	// durationWindow is how long the slowest response of a route is remembered, at least.
@@ -12,11 +16,14 @@
 
 // Drain tells until when a draining entry answers requests.
 type Drain struct {
+	StartedAt time.Time
 	// CutOff is when the entry closes all connections.
 	CutOff time.Time
-	// OnlyKnownFrom is the time from which the entry refuses requests of which it can't tell how long they
+	// OnlyKnownFrom is the time from which the entry refuses calls of which it can't tell how long they
 	// take.
 	OnlyKnownFrom time.Time
+	// OthersReady reports whether another entry accepts callers; nil stands for yes.
+	OthersReady func() bool
 }
 
 // responseTimes remembers the slowest responses of each route, in time per token of the longest possible
@@ -83,22 +90,54 @@
 	return rl.drain != nil
 }
 
+// stopBasis is what tells a draining entry that it may accept a request.
+type stopBasis string
+
+const (
+	byDeadline stopBasis = "deadline" // it ends before the entry stops
+	byEstimate stopBasis = "estimate" // responses of its route were fast enough lately
+	byNothing  stopBasis = "nothing"  // the stop has just begun
+)
+
 // outlastsStop reports whether the entry may stop before the response to a request that has just come is
-// complete.
+// complete. An estimate is enough for a call, which has its answer also at the end of the stop, but not for a stream:
+// one that has begun can only be cut off then.
 func (rl *Relay) outlastsStop(c *call) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	if rl.drain == nil || !c.deadline.After(rl.drain.CutOff) {
+	if rl.drain == nil {
 		return false
 	}
 	now := rl.config.Now()
+	c.intoStop = now.Sub(rl.drain.StartedAt)
+	if !c.deadline.After(rl.drain.CutOff) {
+		c.acceptedBy = byDeadline
+		return false
+	}
+	if c.route.Repeat == routes.Stream {
+		return true
+	}
 	longest, known := rl.responseTimes.longest(now, c.route.Name, c.info.MaxOutputTokens)
 	if !known {
+		c.acceptedBy = byNothing
 		return !now.Before(rl.drain.OnlyKnownFrom)
 	}
+	c.acceptedBy = byEstimate
 	return now.Add(time.Duration(drainMargin * float64(longest))).After(rl.drain.CutOff)
 }
 
+// leavingRetryAfter returns the retry-after of a request that a draining entry refuses: at once if another entry can
+// serve it.
+func (rl *Relay) leavingRetryAfter() time.Duration {
+	rl.mu.Lock()
+	drain := rl.drain
+	rl.mu.Unlock()
+	if drain == nil || drain.OthersReady == nil || drain.OthersReady() {
+		return drainRetryAfter
+	}
+	return noEntryRetryAfter
+}
+
 // cutsOff reports whether the entry has begun to close the connections of running requests.
 func (rl *Relay) cutsOff() bool {
 	rl.mu.Lock()
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math"
@@ -16,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
@@ -33,6 +33,8 @@
 	// drainRetryAfter is the retry-after of a draining entry. It is short because another
 	// entry can serve the request.
 	drainRetryAfter = 10 * time.Millisecond
+	// noEntryRetryAfter is that of a draining entry which knows of no other that accepts callers.
+	noEntryRetryAfter = time.Second
 	// firstEventTime is the time an idle engine needs for the prompt and the first passes,
 	// up to the first event of a stream.
 	firstEventTime = 200 * time.Millisecond
@@ -53,7 +55,9 @@
 	Slots    *SlotClient
 	Limits   *Limits
 	Client   *httpclient.Client
-	Now      func() time.Time
+	// Budget bounds the bodies of requests and the responses that are held.
+	Budget *bytebudget.Budget
+	Now    func() time.Time
 	// MaxProofAge bounds the age of the routes' freshness proof, that is, the time since
 	// the routes were last known to be in force. Requests are refused while the proof is
 	// older, so that a revoked key does not stay valid longer.
@@ -142,13 +146,16 @@
 	priority      *routes.Priority // nil if the configuration calls for none
 	service       routes.Service
 	request       *http.Request
-	body          []byte
+	body          bytebudget.Body
+	bodyHold      *bytebudget.Hold // of the body; nil if it is not counted
 	startedAt     time.Time
 	deadline      time.Time
 	limits        routes.Limits
 	fingerprint   uint64
 	parts         []quarantine.PartID // shared parts of the prompt
 	routesVersion int64
+	intoStop      time.Duration // how long the entry had been stopping when the request came; 0 if it had not
+	acceptedBy    stopBasis     // empty if it came before the stop, or was refused before that was decided
 
 	writer      http.ResponseWriter
 	headSent    bool // the response header has been sent
@@ -179,6 +186,7 @@
 	if rl.draining() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { c.bodyHold.Close() }()
 	broken := rl.serve(c)
 	rl.reportOutcome(c, broken)
 	if broken {
@@ -270,7 +278,7 @@
 	case c.mayHaveRun && rl.requestsEnded():
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "stopped"}
 	case rl.requestsEnded():
-		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", drainRetryAfter}
+		lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", rl.leavingRetryAfter()}
 	case c.mayHaveRun && rl.ended(ctx, c):
 		lastRefusal = refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case c.mayHaveRun && !c.route.MayRepeat():
@@ -405,7 +413,11 @@
 		Str("service", c.outcome.Service).Str("target", c.targetID).Int("attempts", c.attempts).Int("status", c.outcome.Status).
 		Strs("parts", formatParts(c.info.SharedParts)).Int("events", c.events).Str("framing", string(c.framing)).
 		Str("reason", c.outcome.Reason).Bool("broken", broken).Bool("caller_gone", callerGone).Dur("took", c.outcome.Duration).Dur("sent", sentAfter).
-		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age).Msg("request ended")
+		Dur("first", c.outcome.TimeToFirstByte).Int64("version", c.routesVersion).Dur("version_age", age)
+	if c.intoStop > 0 {
+		event.Dur("into_stop", c.intoStop).Str("accepted_by", string(c.acceptedBy))
+	}
+	event.Msg("request ended")
 	rl.config.OnOutcome(c.outcome)
 }
 
@@ -419,10 +431,10 @@
 	})
 	out := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(c.body)),
+		ContentLength: c.body.Len(),
 	}
-	if len(c.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	if c.body.Len() > 0 {
+		out.Body = io.NopCloser(c.body.Reader())
 	}
 	return out
 }
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -4,9 +4,16 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"camphormill.dev/parts/bytebudget"
 )
 
 const (
@@ -17,33 +24,56 @@
 	firstRequestTime = 500 * time.Millisecond
 )
 
+// pastTime is a deadline that has passed.
+var pastTime = time.Unix(1, 0)
+
 // Server is an HTTP server whose stop answers each request that it reads. Shutdown of http.Server closes
 // without an answer a connection whose request it has not yet read completely, or not yet begun to handle.
 type Server struct {
-	http     *http.Server
-	stopping atomic.Bool
+	http             *http.Server
+	limits           Limits
+	stopping         atomic.Bool
+	evicted, refused atomic.Int64 // connections
 
 	mu          sync.Mutex
-	listener    net.Listener
+	listener    *trackingListener         // nil before Serve
 	connections map[*trackedConn]struct{} // open
 }
 
-// NewServer returns a server with the configuration of s, which must set neither Handler nor ConnState.
-func NewServer(s *http.Server) *Server {
-	server := &Server{http: s, connections: map[*trackedConn]struct{}{}}
+// NewServer returns a server with the configuration of s, which must set neither Handler, ConnState nor ConnContext.
+func NewServer(s *http.Server, limits Limits) *Server {
+	server := &Server{http: s, limits: limits, connections: map[*trackedConn]struct{}{}}
 	s.ConnState = server.recordState
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
 	return server
 }
 
+// ConnectionStats tells what the bound on a server's connections has done.
+type ConnectionStats struct {
+	Open    int
+	Evicted int64 // closed to make room
+	Refused int64 // closed at once, without room
+}
+
+// Connections returns what the bound on the connections has done.
+func (s *Server) Connections() ConnectionStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConnectionStats{Open: len(s.connections), Evicted: s.evicted.Load(), Refused: s.refused.Load()}
+}
+
 // Serve serves the handler until Stop. Its error is nil after Stop.
 func (s *Server) Serve(listener net.Listener, handler http.Handler) error {
 	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		defer trackBody(r)()
 		handler.ServeHTTP(w, r)
 	})
-	tracked := &trackingListener{Listener: listener, server: s}
+	tracked := &trackingListener{Listener: listener, server: s, ended: make(chan struct{})}
 	s.mu.Lock()
 	s.listener = tracked
 	s.mu.Unlock()
@@ -54,15 +84,21 @@
 	return err
 }
 
-// Stop closes the listener and each connection that waits for a request, and returns when all are closed.
-// Requests that have begun to arrive are answered. When ctx ends first, Stop returns its error; Close cuts off the rest.
+// Stop closes the listener, once it has accepted the connections that callers have opened, and each connection that
+// waits for a request. It returns when all are closed. Requests that have begun to arrive are answered. When ctx ends
+// first, Stop returns its error; Close cuts off the rest.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		_ = listener.Close() // its error would be that it is closed already
+		listener.stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listener.ended:
+		}
 	}
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
@@ -103,9 +139,11 @@
 	switch state {
 	case http.StateActive:
 		c.recordRequest()
+		c.recordHead()
 	case http.StateIdle:
 		c.recordWaiting()
 	case http.StateClosed, http.StateHijacked:
+		c.releaseHead()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.connections, c)
@@ -118,6 +156,8 @@
 	server    *Server
 	closeOnce sync.Once
 	closeErr  error
+	ended     chan struct{} // closed when the server of the listener has stopped accepting
+	endOnce   sync.Once
 }
 
 // Close closes the listener. Both Stop and the HTTP server close it, and a second close would fail.
@@ -126,51 +166,188 @@
 	return l.closeErr
 }
 
-// Accept waits for the next connection.
+// stop makes Accept return what has been opened and then end. Closing the listener at once would reset the
+// connections that the kernel has accepted, which callers have sent requests on.
+func (l *trackingListener) stop() {
+	if _, ok := l.Listener.(syscall.Conn); ok {
+		if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(pastTime) == nil {
+			return
+		}
+	}
+	_ = l.Close() // its error would be that it is closed already
+}
+
+// Accept waits for the next connection. When the server stops, it returns those that wait to be accepted, and then an
+// error.
 func (l *trackingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.server.track(conn); tracked != nil {
+			return tracked, nil
+		}
+	}
+}
+
+// accept is Accept without the bound on connections.
+func (l *trackingListener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if err == nil || !l.server.stopping.Load() {
+		return conn, err
+	}
+	if conn = l.acceptQueued(); conn != nil {
+		return conn, nil
+	}
+	_ = l.Close()
+	l.endOnce.Do(func() { close(l.ended) })
+	return nil, net.ErrClosed
+}
+
+// track adds a connection to those of the server. If there is no room for it, it closes the connection and returns nil.
+func (s *Server) track(conn net.Conn) *trackedConn {
+	now := time.Now()
+	tracked := &trackedConn{
+		Conn: conn, budget: s.limits.Budget, waiting: true, waitingUntil: now.Add(firstRequestTime),
+		activity: activity{phase: phaseOpened, since: now},
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.makeRoom(now) {
+		_ = conn.Close()
+		return nil
+	}
+	s.connections[tracked] = struct{}{}
+	return tracked
+}
+
+// acceptQueued returns a connection that the kernel has accepted, or nil if there is none.
+func (l *trackingListener) acceptQueued() net.Conn {
+	source, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	accepted, acceptErr := 0, error(unix.EAGAIN)
+	err = control.Control(func(fd uintptr) { // Read would fail, because the deadline has passed
+		for {
+			accepted, _, acceptErr = unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if acceptErr != unix.EINTR && acceptErr != unix.ECONNABORTED {
+				return
+			}
+		}
+	})
+	if err != nil || acceptErr != nil {
+		return nil
+	}
+	file := os.NewFile(uintptr(accepted), "connection")
+	defer func() { _ = file.Close() }()
+	conn, err := net.FileConn(file) // a duplicate
 	if err != nil {
-		return nil, err
+		return nil
 	}
-	tracked := &trackedConn{Conn: conn, waiting: true, waitingUntil: time.Now().Add(firstRequestTime)}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.connections[tracked] = struct{}{}
-	return tracked, nil
+	return conn
 }
 
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
+	budget *bytebudget.Budget // nil: heads have no bound
 
-	mu      sync.Mutex
-	waiting bool // for the first byte of a request
+	mu            sync.Mutex
+	activity      activity
+	headBytes     int
+	headReserved  int              // bytes of the head for which there is room
+	headHold      *bytebudget.Hold // nil while the head is small
+	unmarkedBytes int              // of a body, since the last progress
+	bodyUntil     time.Time        // by which the body must have come; zero if none is due
+	writeUntil    time.Time        // deadline for writing, as the HTTP server or the handler has set it
+	waiting       bool             // for the first byte of a request
 	// waitingUntil is the time before which a connection that waits is not closed.
 	waitingUntil time.Time
-	closing      bool // reading ends at once, unless bytes have come
+	closing      bool      // reading ends at once, unless bytes have come
+	deadline     time.Time // for reading, as the HTTP server has set it
+	bufferBytes  int       // size of the HTTP server's read buffer
 }
 
 // Read reads from the connection and notes the begin of a request.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if c.hasBuffered(len(p)) {
+		c.recordRequest()
+	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+		if n = readArrived(c.Conn, p); n > 0 {
+			err = nil
+		}
+	}
 	if n > 0 {
 		c.recordRequest()
+		if !c.recordRead(n) {
+			return 0, errNoRoom
+		}
 	}
 	return n, err
 }
 
-// SetReadDeadline sets the deadline for reading, unless the connection is about to be closed.
+// hasBuffered reports whether the HTTP server has bytes of a request while it reads: it asks for less than its whole
+// buffer then. It has read them with an earlier request or while that ran.
+func (c *trackedConn) hasBuffered(readBytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferBytes == 0 {
+		c.bufferBytes = readBytes // the first read is into an empty buffer
+	}
+	return readBytes < c.bufferBytes
+}
+
+// readArrived reads the bytes that have arrived. Once a deadline has passed, Read fails without looking for them.
+func readArrived(conn net.Conn, p []byte) int {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = control.Control(func(fd uintptr) { // fails only on a closed connection
+		n, _, err = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// SetReadDeadline sets the deadline for reading, for a connection that is about to be closed when it is not closed
+// after all.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.bodyUntil.IsZero() && (t.IsZero() || t.After(c.bodyUntil)) {
+		t = c.bodyUntil
+	}
+	c.deadline = t
 	if c.closing {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+func (c *trackedConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // closeIfWaiting ends the reading of a connection on which no request has begun to arrive, so that the HTTP
-// server closes it. A request that arrives in the same moment is read and answered.
+// server closes it. A request that has arrived when reading ends is read and answered.
 func (c *trackedConn) closeIfWaiting(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,7 +355,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	_ = c.Conn.SetReadDeadline(pastTime) // fails only on a closed connection
 }
 
 func (c *trackedConn) recordRequest() {
@@ -187,12 +364,137 @@
 	c.waiting = false
 	if c.closing {
 		c.closing = false
-		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only on a closed connection
 	}
 }
 
 func (c *trackedConn) recordWaiting() {
+	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.activity = activity{phase: phaseIdle, since: time.Now()}
+	if !c.writeUntil.IsZero() {
+		c.writeUntil = time.Time{}
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails only on a closed connection
+	}
 	c.waiting, c.waitingUntil = true, time.Time{}
 }
+
+// errNoRoom reports a head for which there is no memory.
+var errNoRoom = errors.New("no memory for the head of the request is left; the connection is closed")
+
+func (c *trackedConn) currentActivity() activity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.activity
+}
+
+// recordRead notes what the client has sent. It returns false if there is no room for the head of its request.
+func (c *trackedConn) recordRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.activity.phase {
+	case phaseOpened, phaseIdle:
+		c.activity = activity{phase: phaseHead, since: time.Now()}
+		c.headBytes, c.headReserved = n, freeHeadBytes
+		return c.growHead()
+	case phaseHead:
+		c.headBytes += n
+		return c.growHead()
+	case phaseBody:
+		if c.unmarkedBytes += n; c.unmarkedBytes >= progressBytes {
+			c.unmarkedBytes, c.activity.since = 0, time.Now()
+		}
+	}
+	return true
+}
+
+// growHead reserves room for what has come of the head. The caller holds c.mu.
+func (c *trackedConn) growHead() bool {
+	for c.budget != nil && c.headBytes > c.headReserved {
+		if c.headHold == nil {
+			c.headHold = c.budget.Open(func() { _ = c.Conn.Close() })
+		}
+		if !c.headHold.Grow(headCost * headBlockBytes) {
+			return false
+		}
+		c.headReserved += headBlockBytes
+	}
+	return true
+}
+
+// recordHead notes that the head of a request has come.
+func (c *trackedConn) recordHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity = activity{phase: phaseRunning, since: time.Now()}
+	c.headHold.Settle()
+}
+
+func (c *trackedConn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headHold.Close()
+	c.headHold = nil
+}
+
+// beginBody notes that a handler begins to wait for a body.
+func (c *trackedConn) beginBody() {
+	now := time.Now()
+	c.mu.Lock()
+	c.activity = activity{phase: phaseBody, since: now}
+	c.unmarkedBytes, c.bodyUntil = 0, now.Add(bodyTimeout)
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
+// endBody notes that the whole body has come.
+func (c *trackedConn) endBody() {
+	c.mu.Lock()
+	if c.bodyUntil.IsZero() {
+		c.mu.Unlock()
+		return
+	}
+	c.activity.phase, c.bodyUntil = phaseRunning, time.Time{}
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
+// endHandler notes that a handler has returned. The HTTP server then discards what has not come of the body.
+func (c *trackedConn) endHandler() {
+	until := time.Now().Add(discardTime)
+	c.mu.Lock()
+	if !c.bodyUntil.IsZero() && until.Before(c.bodyUntil) {
+		c.bodyUntil = until
+	}
+	c.mu.Unlock()
+}
+
+// Write writes to the client, which must read within writeStallTime.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	until := now.Add(writeStallTime)
+	if !c.writeUntil.IsZero() && c.writeUntil.Before(until) {
+		until = c.writeUntil
+	}
+	c.activity.writingAt = now
+	err := c.Conn.SetWriteDeadline(until)
+	c.mu.Unlock()
+	n := 0
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	}
+	c.mu.Lock()
+	c.activity.writingAt = time.Time{}
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetWriteDeadline sets the deadline for writing.
+func (c *trackedConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeUntil = t
+	return c.Conn.SetWriteDeadline(t)
+}
