Link: bound messages, calls and connections

What peers saw: a daemon grew with connections x bytes. It read a message of any length (2^40 was no error), kept one that stopped short for ever, ran any number of calls at a time, encoded all their responses while the peer didn't read, and kept a connection open whose write had timed out.

Calls that run take half of the budget at most; a call without room is refused, "not run" unless it has a reservation, under which it may have run before. One response at a time is encoded for a peer, and a write that fails closes the connection. A call of a class that isn't known is refused, since each class had metrics of its own.

--- a/parts/link/link.go
+++ b/parts/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	// error of a notification is dropped. ctx ends when the connection is closed or
 	// lost, not when the caller stops waiting.
 	Run func(ctx context.Context, peer *Conn, params json.RawMessage) (any, error)
+	// Refused returns the response to a call that the daemon has no memory to run. If it is nil, the caller receives
+	// the failure.
+	Refused func(params json.RawMessage, f *contract.Failure) any
 }
 
 // Methods maps method names to their implementations.
@@ -37,22 +41,30 @@
 
 // Conn is one connection to a peer. It is safe for concurrent use.
 type Conn struct {
-	rpc *jsonrpc2.Conn
+	rpc    *jsonrpc2.Conn
+	stream *stream
 }
 
 // NewConn returns a Conn over a network connection and serves methods to the peer
 // until the connection is closed.
 func NewConn(conn net.Conn, methods Methods) *Conn {
-	return newConn(conn, methods, nil)
+	return newConn(conn, methods, connConfig{running: &atomic.Int64{}})
 }
 
-func newConn(conn net.Conn, methods Methods, active *activity) *Conn {
-	c := &Conn{}
+// connConfig is what a server sets for its connections.
+type connConfig struct {
+	active  *activity     // nil if calls need no draining
+	running *atomic.Int64 // memory of the calls that run
+	limits  Limits
+	onError func(error) // called when a message breaks a limit; nil for none
+}
+
+func newConn(conn net.Conn, methods Methods, config connConfig) *Conn {
+	c := &Conn{stream: newStream(&meteredConn{Conn: conn}, config.limits, config.running, config.onError)}
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(&meteredConn{Conn: conn}, jsonrpc2.VarintObjectCodec{})
-	handler := handler{methods: methods, conn: c, ready: ready, active: active}
+	handler := handler{methods: methods, conn: c, ready: ready, active: config.active, replying: &sync.Mutex{}}
 	noLogs := jsonrpc2.SetLogger(discardLogger{})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, handler, noLogs)
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.stream, handler, noLogs)
 	close(ready)
 	return c
 }
@@ -99,13 +111,17 @@
 	net.Conn
 }
 
-// Write writes p within writeTimeout and counts the bytes.
+// Write writes p within writeTimeout and counts the bytes. It closes the connection if that fails: a part of a message may
+// have been sent.
 func (m *meteredConn) Write(p []byte) (int, error) {
 	if err := m.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := m.Conn.Write(p)
 	sent.Add(uint64(n))
+	if err != nil {
+		_ = m.Conn.Close()
+	}
 	return n, err
 }
 
@@ -116,12 +132,15 @@
 	return n, err
 }
 
-// sent and received count the bytes of all links of the process.
-var sent, received atomic.Uint64
+// sent and received count the bytes of all links of the process, and refused the calls that there was no memory to run.
+var sent, received, refused atomic.Uint64
 
 // BytesSent returns the number of bytes that all links of this process have sent.
 func BytesSent() uint64 { return sent.Load() }
 
+// CallsRefused returns the number of calls that this process refused for want of memory.
+func CallsRefused() uint64 { return refused.Load() }
+
 // BytesReceived returns the number of bytes that all links of this process have
 // received.
 func BytesReceived() uint64 { return received.Load() }
@@ -131,6 +150,9 @@
 	conn    *Conn
 	ready   chan struct{} // closed when conn.rpc is set
 	active  *activity     // nil on connections whose calls need no draining
+	// replying is held while a response is encoded and written, so that a peer which doesn't read makes the daemon hold
+	// no more than one.
+	replying *sync.Mutex
 }
 
 // Handle serves one call or notification of the peer.
@@ -147,16 +169,40 @@
 		params = *req.Params
 	}
 	h.active.begin()
-	serve := func() {
-		defer h.active.end()
-		result, err := method.Run(ctx, h.conn, params)
-		h.reply(ctx, req, result, err)
-	}
 	if method.Inline {
-		serve()
+		h.serve(ctx, req, method, params)
+		return
+	}
+	call, ok := h.conn.stream.beginCall()
+	if !ok {
+		h.conn.stream.endCall(call)
+		h.refuse(ctx, req, method, params)
+		return
+	}
+	go func() {
+		defer h.conn.stream.endCall(call)
+		h.serve(ctx, req, method, params)
+	}()
+}
+
+// serve runs a method and replies. The call has been counted as active.
+func (h handler) serve(ctx context.Context, req *jsonrpc2.Request, method Method, params json.RawMessage) {
+	defer h.active.end()
+	result, err := method.Run(ctx, h.conn, params)
+	h.reply(ctx, req, result, err)
+}
+
+// refuse replies to a call that there is no memory to run.
+func (h handler) refuse(ctx context.Context, req *jsonrpc2.Request, method Method, params json.RawMessage) {
+	defer h.active.end()
+	refused.Add(1)
+	f := contract.NewFailure(contract.KindOverloaded, "the daemon has no memory left to run the call", "retry after the given time").
+		WithRetryAt(time.Now().Add(refusedFor))
+	if method.Refused == nil {
+		h.reply(ctx, req, nil, f)
 		return
 	}
-	go serve()
+	h.reply(ctx, req, method.Refused(params, f), nil)
 }
 
 // reply sends the result or the error of a call. It ignores errors of sending,
@@ -165,6 +211,8 @@
 	if req.Notif {
 		return
 	}
+	h.replying.Lock()
+	defer h.replying.Unlock()
 	if err == nil {
 		_ = h.conn.rpc.Reply(ctx, req.ID, result)
 		return
--- a/targetd/gate/methods.go
+++ b/targetd/gate/methods.go
@@ -24,7 +24,7 @@
 	return link.Methods{
 		contract.MethodHello:     {Inline: true, Run: g.hello(zone)},
 		contract.MethodHeartbeat: {Inline: true, Run: g.heartbeat(c)},
-		contract.MethodRun:       {Run: g.run},
+		contract.MethodRun:       {Run: g.run, Refused: g.refuseRun},
 		contract.MethodSettle:    {Inline: true, Run: g.settle},
 		contract.MethodCancel:    {Inline: true, Run: g.cancel},
 	}
@@ -61,6 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.Class, err = contract.ParseClass(string(call.Class)); err != nil {
+		return contract.NotRunAnswer(contract.AsFailure(err)), nil
+	}
 	writer := g.frames.writerFor(peer)
 	var sequence atomic.Int64
 	sequence.Store(int64(call.ResumeFrom))
@@ -75,6 +78,15 @@
 	return answer, nil
 }
 
+// refuseRun returns the answer to a call that there is no memory to run. A call under a reservation may have run before.
+func (g *Gate) refuseRun(params json.RawMessage, f *contract.Failure) any {
+	call, err := link.Decode[contract.Call](params)
+	if err != nil || call.Reservation != "" {
+		return g.withReportedLoad(contract.UnknownAnswer(f))
+	}
+	return g.withReportedLoad(contract.NotRunAnswer(f))
+}
+
 func (g *Gate) settle(_ context.Context, _ *link.Conn, params json.RawMessage) (any, error) {
 	request, err := link.Decode[contract.SettleRequest](params)
 	if err != nil {
