Entries: bound the bodies that callers make them hold

An entry read each body into memory, whatever others had sent: 300 callers with 1 MiB each, most of which stop just short of its end, took 318 to 588 MiB. A body over 16 KiB now reserves its memory from the budget of the process, with what passing it on takes. When there is none, a caller who has stalled for a second gives way, or the request is refused as overloaded, with a time to retry: "not run", or "unknown" with a reservation or an idempotency key. A body that is announced as too large isn't read. An answer whose caller doesn't read gives way in the same way.

--- a/entryd/httpapi/completions.go
+++ b/entryd/httpapi/completions.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"camphormill.dev/entryd/dispatch"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/daemon"
 )
@@ -73,7 +74,9 @@
 // complete serves a completion, streamed or in one answer.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	start := s.config.Now()
-	request, failure := s.admit(w, r)
+	hold := s.openHold(w)
+	defer hold.Close()
+	request, failure := s.admit(w, r, hold)
 	var body completionRequest
 	if failure == nil {
 		body, failure = decodeCompletion(request.Body)
@@ -91,9 +94,9 @@
 	var result dispatch.Result
 	broken := false
 	if body.Stream {
-		result, broken = s.completeStream(ctx, w, request)
+		result, broken = s.completeStream(ctx, w, request, hold)
 	} else {
-		result = s.completeWhole(ctx, w, request)
+		result = s.completeWhole(ctx, w, request, hold)
 	}
 	s.config.Observe(request.Organisation, request.Class, result.Outcome, s.config.Now().Sub(start))
 	if broken {
@@ -114,7 +117,7 @@
 const defaultMaxAnswerBytes = 8 << 20
 
 // completeWhole collects all tokens and writes them in one answer. It ends a run whose answer exceeds MaxAnswerBytes.
-func (s *Server) completeWhole(ctx context.Context, w http.ResponseWriter, request dispatch.Request) dispatch.Result {
+func (s *Server) completeWhole(ctx context.Context, w http.ResponseWriter, request dispatch.Request, hold *bytebudget.Hold) dispatch.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var text strings.Builder
@@ -135,14 +138,14 @@
 		result.Body, _ = json.Marshal(answer) // strings always encode
 		result.ContentType = "application/json"
 	}
-	s.writeResult(w, result)
+	s.writeResult(w, result, hold)
 	return result
 }
 
 // completeStream writes each token as an event when it arrives. A failure before the
 // first token is a plain answer. A later one is an event, and the response must then be cut off, which
 // broken reports.
-func (s *Server) completeStream(ctx context.Context, w http.ResponseWriter, request dispatch.Request) (result dispatch.Result, broken bool) {
+func (s *Server) completeStream(ctx context.Context, w http.ResponseWriter, request dispatch.Request, hold *bytebudget.Hold) (result dispatch.Result, broken bool) {
 	events := &eventWriter{w: w, controller: http.NewResponseController(w), model: request.ServiceName}
 	result = s.config.Dispatcher.RunRepeatable(ctx, request, events.writeToken)
 	switch {
@@ -150,7 +153,7 @@
 		events.start()
 		events.write("data: [DONE]\n\n")
 	case !events.started:
-		s.writeResult(w, result)
+		s.writeResult(w, result, hold)
 	default:
 		failure, _ := json.Marshal(failureResponse{Outcome: result.Outcome, Failure: result.Failure}) // always encodes
 		events.write("event: error\ndata: " + string(failure) + "\n\n")
--- a/entryd/httpapi/httpapi.go
+++ b/entryd/httpapi/httpapi.go
@@ -9,7 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"camphormill.dev/entryd/dispatch"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/limit"
 	"camphormill.dev/parts/preset"
@@ -44,6 +45,10 @@
 	maxBodyBytes = 1 << 20
 	maxKeyBytes  = 256
 	maxTimeout   = 10 * time.Minute
+	// passedOnCopies is how often a body is held besides while it is passed on to a target.
+	passedOnCopies = 3
+	// fullRetryAfter is the time after which a request comes back for which the entry had no memory.
+	fullRetryAfter = time.Second
 )
 
 // Address is one entry host that a caller may send requests to.
@@ -71,19 +76,23 @@
 	// MaxAnswerBytes bounds the text of an answer that is collected for a caller without a stream, since a faulty engine may
 	// send tokens without end. 0 is 8 MiB.
 	MaxAnswerBytes int
+	// Budget bounds the bodies that callers make the entry hold; nil sets no bound.
+	Budget *bytebudget.Budget
 }
 
 // Server serves the HTTP interface for callers. It is safe for concurrent use.
 type Server struct {
 	config Config
 
+	unbounded *bytebudget.Budget // used without Config.Budget
+
 	mu      sync.Mutex
 	limiter *limit.Limiter
 }
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c, limiter: limit.NewLimiter(c.LimitShare)}
+	return &Server{config: c, unbounded: bytebudget.New(bytebudget.Config{Bytes: math.MaxInt64, StallTime: math.MaxInt64, Now: time.Now}), limiter: limit.NewLimiter(c.LimitShare)}
 }
 
 // Handler returns the HTTP handler of all paths.
@@ -160,7 +169,7 @@
 // admit reads the headers and the body that all requests have in common and applies
 // the organisation's limit. It sets the answer's header HeaderConfiguration. If it returns a
 // failure, the request is incomplete.
-func (s *Server) admit(w http.ResponseWriter, r *http.Request) (dispatch.Request, *contract.Failure) {
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, hold *bytebudget.Hold) (dispatch.Request, *contract.Failure) {
 	organisation, _ := r.Context().Value(organisationContextKey{}).(string)
 	request := dispatch.Request{Organisation: organisation, Method: r.Method, ContentType: r.Header.Get("Content-Type")}
 	state, loaded := s.config.State()
@@ -183,7 +192,7 @@
 		return request, failure
 	}
 	request.Version = r.Header.Get(HeaderVersion)
-	request.Body, failure = readBody(w, r)
+	request.Body, failure = s.readBody(r, hold)
 	return request, failure
 }
 
@@ -216,16 +225,32 @@
 		"the organisation exceeds its request limit", "retry later").WithRetryAt(at)
 }
 
-// readBody reads the whole body, up to maxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *contract.Failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err == nil {
-		return body, nil
+// openHold returns what the body of a request is counted with. The caller must close it.
+func (s *Server) openHold(w http.ResponseWriter) *bytebudget.Hold {
+	budget := s.config.Budget
+	if budget == nil {
+		budget = s.unbounded
+	}
+	connection := http.NewResponseController(w)
+	return budget.Open(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
+}
+
+// readBody reads the whole body, up to maxBodyBytes, and reserves what passing it on takes.
+func (s *Server) readBody(r *http.Request, hold *bytebudget.Hold) ([]byte, *contract.Failure) {
+	body, err := bytebudget.ReadBody(r.Body, hold, maxBodyBytes, r.ContentLength)
+	if err == nil && body.Len() > bytebudget.FreeBytes && !hold.Grow(passedOnCopies*body.Len()) {
+		err = bytebudget.ErrFull
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		return body.Bytes(), nil
+	case errors.Is(err, bytebudget.ErrTooLarge):
 		return nil, contract.NewFailure(contract.KindTooLarge,
 			"the body is over "+strconv.Itoa(maxBodyBytes)+" bytes", "send a shorter body")
+	case errors.Is(err, bytebudget.ErrFull):
+		return nil, contract.NewFailure(contract.KindOverloaded,
+			"the entry has no memory left for the body", "send it again, to another address if there is one").
+			WithRetryAt(s.config.Now().Add(fullRetryAfter))
 	}
 	return nil, contract.NewFailure(contract.KindInvalidRequest, "the body could not be read: "+err.Error(), "send it again")
 }
--- a/entryd/httpapi/service.go
+++ b/entryd/httpapi/service.go
@@ -5,17 +5,21 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
 
 	"camphormill.dev/entryd/dispatch"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/contract"
 )
 
 // reserve serves a reservation for a later call of the caller.
 func (s *Server) reserve(w http.ResponseWriter, r *http.Request) {
-	request, failure := s.admit(w, r)
+	hold := s.openHold(w)
+	defer hold.Close()
+	request, failure := s.admit(w, r, hold)
 	if failure != nil {
 		s.writeRefusal(w, r, failure)
 		return
@@ -36,7 +40,9 @@
 // callService serves a call of a service.
 func (s *Server) callService(w http.ResponseWriter, r *http.Request) {
 	start := s.config.Now()
-	request, failure := s.admit(w, r)
+	hold := s.openHold(w)
+	defer hold.Close()
+	request, failure := s.admit(w, r, hold)
 	if failure == nil {
 		failure = serviceRequest(r, &request)
 	}
@@ -58,7 +64,7 @@
 		result = s.config.Dispatcher.RunOnce(ctx, request)
 	}
 	s.config.Observe(request.Organisation, request.Class, result.Outcome, s.config.Now().Sub(start))
-	s.writeResult(w, result)
+	s.writeResult(w, result, hold)
 }
 
 // serviceRequest fills in the service, path, reservation and idempotency key of the
@@ -113,8 +119,14 @@
 		HeaderRepeat+" has an unknown value", "send never or allowed")
 }
 
-// writeResult writes the target's answer or the failure.
-func (s *Server) writeResult(w http.ResponseWriter, result dispatch.Result) {
+// writeResult writes the target's answer or the failure. The answer is counted with the hold, which gives way if the caller
+// doesn't read.
+func (s *Server) writeResult(w http.ResponseWriter, result dispatch.Result, hold *bytebudget.Hold) {
+	if len(result.Body) > bytebudget.FreeBytes {
+		connection := http.NewResponseController(w)
+		hold.Unsettle(func() { _ = connection.SetWriteDeadline(time.Unix(1, 0)) })
+		hold.Grow(int64(len(result.Body))) // an answer that is ready is written in any case
+	}
 	w.Header().Set(HeaderAttempts, strconv.Itoa(result.Attempts))
 	if result.Outcome != contract.OutcomeDone {
 		reservation := ""
