Daemons: memory_mb and max_descriptors bound what crowds make entryd and targetd hold

What operators saw: an entry or a target took as much memory and as many descriptors as its clients had connections. With 96 MiB and 512 descriptors allowed, 300 bodies or messages that stop short took 318 to 588 MiB, messages without end over 2 GiB, and 800 silent connections 818 descriptors. The settings were there, and nothing used them.

Each daemon now has one budget, from memory_mb, for the heads and bodies of callers and the messages and calls of the link; the bounds on the connections of each address follow from max_descriptors. The garbage collector keeps the heap below 60% of memory_mb. The gauges of the link and the budget show what is refused.

--- a/entryd/command/command.go
+++ b/entryd/command/command.go
@@ -17,8 +17,10 @@
 		Usage:    "the daemon of an entry host: accepts requests and sends them to targets",
 		Defaults: Defaults,
 		Checked:  func(s *Settings) settings.Checkable { return s },
-		Common:   func(s Settings) daemon.Settings { return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel} },
-		Kernel:   newKernel,
+		Common: func(s Settings) daemon.Settings {
+			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, MemoryMB: s.MemoryMB}
+		},
+		Kernel: newKernel,
 	}
 	return program.Main(ctx, args)
 }
--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -18,6 +18,7 @@
 	"camphormill.dev/entryd/idempotency"
 	"camphormill.dev/entryd/peers"
 	"camphormill.dev/entryd/pool"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/kernel"
@@ -55,6 +56,7 @@
 // newKernel returns a kernel with the services of entryd and their dependencies.
 func newKernel(s Settings, log zerolog.Logger) *kernel.Kernel {
 	k := kernel.New()
+	budget, shares := bytebudget.ForProcess(s.MemoryMB), daemon.NewShares(s.MaxDescriptors, s.MemoryMB)
 	register := func(name string, needs []string, start func(k *kernel.Kernel) any) {
 		k.Register(kernel.Service{Name: name, Needs: needs, Start: func(_ context.Context, k *kernel.Kernel) (any, error) {
 			return start(k), nil
@@ -68,9 +70,9 @@
 	register(servicePool, []string{serviceStore, servicePeers}, func(k *kernel.Kernel) any { return newPool(s, k, log) })
 	register(serviceClaims, []string{servicePeers}, func(k *kernel.Kernel) any { return newClaimer(s, k, log) })
 	register(serviceDispatch, []string{servicePool, serviceClaims}, func(k *kernel.Kernel) any { return newDispatcher(s, k, log) })
-	register(serviceHTTPAPI, []string{serviceDispatch, serviceMetrics, serviceEntryState}, func(k *kernel.Kernel) any { return newAPIServer(s, k, log) })
-	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness, servicePool, servicePeers}, daemon.Limits{}, operations))
-	k.Register(linkService(s))
+	register(serviceHTTPAPI, []string{serviceDispatch, serviceMetrics, serviceEntryState}, func(k *kernel.Kernel) any { return newAPIServer(s, k, log, budget) })
+	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness, servicePool, servicePeers}, daemon.Limits{Connections: shares.Operations, Budget: budget}, operations))
+	k.Register(linkService(s, link.Limits{Connections: shares.Directory, Budget: budget}, daemon.PartLogger(log, serviceLink)))
 	k.Register(kernel.Loop(serviceFollower, []string{serviceStore, servicePeers, serviceReadiness}, func(ctx context.Context, k *kernel.Kernel) {
 		newFollower(s, k, log).Run(ctx)
 	}))
@@ -83,7 +85,7 @@
 	k.Register(kernel.Loop(serviceHosts, []string{servicePool, servicePeers, serviceReadiness}, func(ctx context.Context, k *kernel.Kernel) {
 		pollHostList(ctx, s, k, daemon.PartLogger(log, serviceHosts))
 	}))
-	k.Register(daemon.HTTPService(serviceCallers, s.CallersAddress, []string{serviceHTTPAPI, serviceFollower, serviceGossip, serviceHosts, serviceClaimLoop}, daemon.Limits{}, func(k *kernel.Kernel) http.Handler {
+	k.Register(daemon.HTTPService(serviceCallers, s.CallersAddress, []string{serviceHTTPAPI, serviceFollower, serviceGossip, serviceHosts, serviceClaimLoop}, daemon.Limits{Connections: shares.Callers, Budget: budget}, func(k *kernel.Kernel) http.Handler {
 		return kernel.Get[*httpapi.Server](k, serviceHTTPAPI).Handler()
 	}))
 	k.Register(drainService(s, daemon.PartLogger(log, serviceDrain)))
@@ -183,7 +185,7 @@
 	})
 }
 
-func newAPIServer(s Settings, k *kernel.Kernel, log zerolog.Logger) *httpapi.Server {
+func newAPIServer(s Settings, k *kernel.Kernel, log zerolog.Logger, budget *bytebudget.Budget) *httpapi.Server {
 	entry := kernel.Get[*entryState](k, serviceEntryState)
 	p := kernel.Get[*peers.Peers](k, servicePeers)
 	keys := map[string]string{}
@@ -199,6 +201,7 @@
 		State:            kernel.Get[*preset.Store](k, serviceStore).State,
 		LimitShare:       func(organisation string) float64 { return limitShare(organisation, entry.name, p.Live()) },
 		Now:              time.Now,
+		Budget:           budget,
 		Observe:          newObserver(kernel.Get[*metrics.Set](k, serviceMetrics)).observe,
 		Logger:           daemon.PartLogger(log, serviceHTTPAPI),
 	})
@@ -271,14 +274,15 @@
 }
 
 // linkService returns the service that accepts links from other entries.
-func linkService(s Settings) kernel.Service {
-	server := &link.Server{}
+func linkService(s Settings, limits link.Limits, log zerolog.Logger) kernel.Service {
+	server := &link.Server{Limits: limits, Log: log}
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.LinkAddress)
 		if err != nil {
 			return nil, errors.Wrapf(err, "cannot listen on %s; free the address or set another", s.LinkAddress)
 		}
 		server.Methods = kernel.Get[*peers.Peers](k, servicePeers).Methods()
+		daemon.ObserveLink(kernel.Get[*metrics.Set](k, serviceMetrics), server, limits.Budget)
 		go server.Serve(listener)
 		return server, nil
 	}
@@ -286,7 +290,7 @@
 		server.Close()
 		return nil
 	}
-	return kernel.Service{Name: serviceLink, Needs: []string{servicePeers, serviceDispatch}, Start: start, Stop: stop}
+	return kernel.Service{Name: serviceLink, Needs: []string{serviceMetrics, servicePeers, serviceDispatch}, Start: start, Stop: stop}
 }
 
 // drainService returns the service that drains the entry. It starts last and therefore
--- a/parts/daemon/program.go
+++ b/parts/daemon/program.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -17,6 +18,7 @@
 type Settings struct {
 	Name     string
 	LogLevel string
+	MemoryMB float64 // memory of the process in MiB; 0 if it is not known
 }
 
 // Program is the command line of a daemon with settings of type S. Its commands are
@@ -56,6 +58,7 @@
 		return err
 	}
 	common := p.Common(s)
+	limitHeap(common.MemoryMB)
 	log, err := NewLogger(os.Stderr, common.LogLevel, common.Name)
 	if err != nil {
 		return commandline.NewExitError(commandline.ExitUsage, err)
@@ -66,6 +69,14 @@
 	return nil
 }
 
+// limitHeap makes the garbage collector run more often as the heap approaches the memory of the process, in MiB.
+func limitHeap(memoryMB float64) {
+	const heapShare = 0.6 // the rest is left for stacks, sockets and the runtime
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * memoryMB * (1 << 20)))
+	}
+}
+
 func (p Program[S]) checkCommand() *cli.Command {
 	action := func(_ context.Context, c *cli.Command) error {
 		s, err := p.load(c)
--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/kernel"
@@ -49,13 +50,14 @@
 // newKernel returns a kernel with the services of targetd.
 func newKernel(s Settings, log zerolog.Logger) *kernel.Kernel {
 	k := kernel.New()
+	budget, shares := bytebudget.ForProcess(s.MemoryMB), daemon.NewShares(s.MaxDescriptors, s.MemoryMB)
 	k.Register(valueService(serviceMetrics, metrics.NewSet()))
 	k.Register(valueService(serviceReadiness, daemon.NewReadiness("starting")))
 	k.Register(valueService(serviceConfiguration, preset.NewStore()))
-	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, daemon.Limits{}, newOperationsHandler))
+	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, daemon.Limits{Connections: shares.Operations, Budget: budget}, newOperationsHandler))
 	k.Register(gateService(s))
 	registerGroup(k, s.Group, daemon.PartLogger(log, serviceGroup))
-	k.Register(linkService(s, daemon.PartLogger(log, serviceLink)))
+	k.Register(linkService(s, link.Limits{Connections: shares.Callers, Budget: budget}, daemon.PartLogger(log, serviceLink)))
 	k.Register(drainService(daemon.PartLogger(log, serviceDrain)))
 	return k
 }
@@ -115,8 +117,8 @@
 	}
 }
 
-func linkService(s Settings, log zerolog.Logger) kernel.Service {
-	server := &link.Server{}
+func linkService(s Settings, limits link.Limits, log zerolog.Logger) kernel.Service {
+	server := &link.Server{Limits: limits, Log: log}
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.LinkAddress)
 		if err != nil {
@@ -131,6 +133,7 @@
 			// The context must outlive the order, because loading continues after the answer.
 			maps.Copy(server.Methods, d.Methods(context.Background()))
 		}
+		daemon.ObserveLink(kernel.Get[*metrics.Set](k, serviceMetrics), server, limits.Budget)
 		go server.Serve(listener)
 		return server, nil
 	}
@@ -138,7 +141,7 @@
 		server.Close() // needed only if targetd failed to start; otherwise drainService has closed the server
 		return nil
 	}
-	return kernel.Service{Name: serviceLink, Needs: []string{serviceGate, serviceConfiguration, serviceGroup}, Start: start, Stop: stop}
+	return kernel.Service{Name: serviceLink, Needs: []string{serviceMetrics, serviceGate, serviceConfiguration, serviceGroup}, Start: start, Stop: stop}
 }
 
 // fetchTimeout bounds the fetch of a configuration from an entry.
