Peers: bound the connections to addresses that gossip names

An entry kept a connection for each address that it had ever called, and called all addresses in gossip at the same time, so that its descriptors grew with what strangers published.

--- a/entryd/command/services.go
+++ b/entryd/command/services.go
@@ -66,7 +66,7 @@
 	register(serviceReadiness, nil, func(*kernel.Kernel) any { return daemon.NewReadiness("starting") })
 	register(serviceStore, nil, func(*kernel.Kernel) any { return preset.NewStore() })
 	register(serviceEntryState, nil, func(*kernel.Kernel) any { return newEntryState(s) })
-	register(servicePeers, []string{serviceStore, serviceEntryState}, func(k *kernel.Kernel) any { return newPeers(s, k, log) })
+	register(servicePeers, []string{serviceStore, serviceEntryState}, func(k *kernel.Kernel) any { return newPeers(s, k, log, shares.Directory) })
 	register(servicePool, []string{serviceStore, servicePeers}, func(k *kernel.Kernel) any { return newPool(s, k, log) })
 	register(serviceClaims, []string{servicePeers}, func(k *kernel.Kernel) any { return newClaimer(s, k, log) })
 	register(serviceDispatch, []string{servicePool, serviceClaims}, func(k *kernel.Kernel) any { return newDispatcher(s, k, log) })
@@ -99,7 +99,7 @@
 	return router
 }
 
-func newPeers(s Settings, k *kernel.Kernel, log zerolog.Logger) *peers.Peers {
+func newPeers(s Settings, k *kernel.Kernel, log zerolog.Logger, maxConnections int) *peers.Peers {
 	entry := kernel.Get[*entryState](k, serviceEntryState)
 	store := kernel.Get[*preset.Store](k, serviceStore)
 	var p *peers.Peers
@@ -129,7 +129,8 @@
 		LatestStrikes: func() []quarantine.Strike {
 			return kernel.Get[*dispatch.Dispatcher](k, serviceDispatch).LatestStrikes()
 		},
-		Logger: daemon.PartLogger(log, servicePeers),
+		MaxConnections: maxConnections,
+		Logger:         daemon.PartLogger(log, servicePeers),
 	})
 	for _, peer := range s.Peers {
 		p.AddSeed(peer.Name, peer.Link)
--- a/entryd/peers/peers.go
+++ b/entryd/peers/peers.go
@@ -4,6 +4,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -70,6 +71,8 @@
 	// all records, as it does when it starts.
 	SuspectedParts func() []quarantine.PartRecord
 	LatestStrikes  func() []quarantine.Strike
+	// MaxConnections is how many connections to peers are open at a time; 0 sets no bound.
+	MaxConnections int
 	Logger         zerolog.Logger
 }
 
@@ -94,7 +97,7 @@
 		table:  membership.NewTable(c.EntryName, maxMissedRefreshes*c.Refresh()),
 		seeds:  map[string]string{}, pending: map[string]membership.Record{},
 	}
-	p.conns = &link.Cache{Dial: c.Dial, Methods: p.Methods}
+	p.conns = &link.Cache{Dial: c.Dial, Methods: p.Methods, Max: c.MaxConnections}
 	return p
 }
 
@@ -316,7 +319,7 @@
 	}
 }
 
-// callAll runs call for every known peer concurrently. It returns when all are done;
+// callAll runs call for every known peer concurrently, Config.MaxConnections at a time. It returns when all are done;
 // the context passed to call ends after the timeout.
 func (p *Peers) callAll(ctx context.Context, timeout time.Duration, call func(ctx context.Context, name, address string)) {
 	p.mu.Lock()
@@ -325,8 +328,17 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	slots := make(chan struct{}, cmp.Or(p.config.MaxConnections, max(len(all), 1)))
 	for name, address := range all {
-		wg.Go(func() { call(ctx, name, address) })
+		wg.Go(func() {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			defer func() { <-slots }()
+			call(ctx, name, address)
+		})
 	}
 	wg.Wait()
 }
