Orders: bound those that are executed at a time

Each datagram with an order started a goroutine and a connection to an engine, in daemons of targets and of entries (where one datagram carries many), and the leader of a group read all known hosts that don't report at the same time, also those that strangers had named. Now 256 orders and 256 such reads go on at a time. The leader repeats an order that is dropped.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -64,6 +64,8 @@
 	maxStrikesSent = 16
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = 120 * time.Millisecond
+	// maxOrders bounds the orders that are executed at a time.
+	maxOrders = 256
 	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
 	// It is longer than any limit that operators publish.
 	callerIdleTimeout = time.Minute
@@ -115,6 +117,7 @@
 	draining      atomic.Bool
 	lastRequestAt atomic.Int64 // time of the last request, a freshness.Instant
 	inFlight      atomic.Int64 // running requests of callers
+	orders        atomic.Int64 // that are being executed
 }
 
 // RegisterServices registers the services of an entry with the kernel.
@@ -225,7 +228,7 @@
 		s.sendEngineSettings(from, m.RequestEngineSettings)
 	case m.Order != nil:
 		for _, o := range m.Order.ForEachEngine() {
-			go s.executeOrder(from, o)
+			s.startOrder(from, o)
 		}
 	default:
 		s.slots.Handle(from, m)
@@ -244,6 +247,19 @@
 	}
 }
 
+// startOrder executes an order in a new goroutine, unless there are maxOrders already. The leader repeats an order that is
+// dropped.
+func (s *Server) startOrder(from mesh.Host, o mesh.Order) {
+	if s.orders.Add(1) > maxOrders {
+		s.orders.Add(-1)
+		return
+	}
+	go func() {
+		defer s.orders.Add(-1)
+		s.executeOrder(from, o)
+	}()
+}
+
 // executeOrder passes a leader's order to an engine and sends the result to the leader. It
 // refuses an order whose fencing token is out of date. The leader repeats an order that gets
 // no result.
--- a/targetd/rankagent/agent.go
+++ b/targetd/rankagent/agent.go
@@ -36,6 +36,8 @@
 	// and bounds the read of the store as well.
 	settingsRequestFanout = 2
 	settingsTimeout       = 2 * time.Second
+	// maxOrders bounds the orders that are executed at a time. The leader repeats an order that is dropped.
+	maxOrders = 256
 	// maxLayoutAge is the age at which the cached layout of the local engine is read again.
 	// The layout changes only by orders.
 	maxLayoutAge = time.Second
@@ -88,6 +90,7 @@
 	settingsRequestedAt time.Time
 
 	layouts *layoutStore
+	orders  chan struct{} // has one element for each order that is being executed
 }
 
 // New returns an agent that has not read its engine yet. The caller runs Run and passes the
@@ -96,7 +99,7 @@
 	if c.SteadyClock == nil {
 		c.SteadyClock = freshness.Now
 	}
-	return &Agent{config: c, announcedAt: c.Now(), claimAfter: randomClaimDelay(0), engineReadable: true, layouts: &layoutStore{}}
+	return &Agent{config: c, announcedAt: c.Now(), claimAfter: randomClaimDelay(0), engineReadable: true, layouts: &layoutStore{}, orders: make(chan struct{}, maxOrders)}
 }
 
 // Run reads the engine, reports to the leader and leads the group when no other daemon does,
@@ -286,7 +289,7 @@
 	case m.EngineSettings != nil && m.EngineSettings.Service == a.config.Service:
 		a.setSettings(m.EngineSettings.Engine)
 	case m.Order != nil:
-		go a.executeOrder(from, *m.Order)
+		a.startOrder(from, *m.Order)
 	default:
 		if l := a.currentLeader(); l != nil {
 			l.handle(from, m)
--- a/targetd/rankagent/execution.go
+++ b/targetd/rankagent/execution.go
@@ -29,6 +29,20 @@
 	return s.known.Apply(c)
 }
 
+// startOrder executes an order in a new goroutine, unless there are maxOrders already.
+func (a *Agent) startOrder(from mesh.Host, o mesh.Order) {
+	select {
+	case a.orders <- struct{}{}:
+	default:
+		a.config.Log.Debug().Str("leader", from.Name).Msg("too many orders at a time; dropping one, which the leader repeats")
+		return
+	}
+	go func() {
+		defer func() { <-a.orders }()
+		a.executeOrder(from, o)
+	}()
+}
+
 // executeOrder passes an order of the leader to an engine and sends the result to o.Leader. An
 // order with a fence below the highest known one is answered with Fenced, and one with changes against
 // an unknown layout with UnknownBase. If the engine does not answer, nothing is sent.
--- a/targetd/rankagent/leader.go
+++ b/targetd/rankagent/leader.go
@@ -25,6 +25,8 @@
 	// directReadInterval is the interval at which the leader reads the engine of a rank whose daemon is
 	// silent. Reading a remote engine has a cost.
 	directReadInterval = 250 * time.Millisecond
+	// maxDirectReads bounds the direct reads that go on at a time.
+	maxDirectReads = 256
 	// otherGroupReadInterval is the interval for an engine that belonged to another group. Groups
 	// are formed again rarely, and the daemon of a rank that has joined reports by itself.
 	otherGroupReadInterval = 10 * time.Second
@@ -107,6 +109,7 @@
 	startedAt     time.Time
 	passDurations passDurations
 	skew          float64              // of the experts' load under the map in force, as last known; mean over the sets
+	directReads   int                  // that are going on
 	directReadAt  map[string]time.Time // start of the last direct read, by host name
 	otherGroup    map[string]bool      // hosts whose engines belonged to another group at the last direct read, by name
 }
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -52,13 +52,19 @@
 	for _, r := range l.ranks {
 		reporting[r.host] = reporting[r.host] || (!r.direct && now.Sub(r.receivedAt) < silentAfter)
 	}
-	for _, h := range l.config.Mesh.Known(mesh.RoleTarget) {
+	known := l.config.Mesh.Known(mesh.RoleTarget)
+	if len(l.directReadAt) > 2*len(known) { // hosts that are no longer known
+		clear(l.directReadAt)
+		clear(l.otherGroup)
+	}
+	for _, h := range known {
 		interval := directReadInterval
 		if l.otherGroup[h.Name] {
 			interval = otherGroupReadInterval
 		}
-		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= interval {
+		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= interval && l.directReads < maxDirectReads {
 			l.directReadAt[h.Name] = now
+			l.directReads++
 			go l.readEngine(h)
 		}
 	}
@@ -69,6 +75,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	r, err := l.config.Engine.Read(ctx, h.Engine)
+	l.mu.Lock()
+	l.directReads--
+	l.mu.Unlock()
 	if err != nil {
 		l.log.Debug().Err(err).Str("host", h.Name).Msg("reading the engine of a silent daemon failed; retrying")
 		return
