Groups: bound the maps that a rank loads at a time

Each load order with another map started a goroutine and a request to the engine, whatever was being loaded. A rank now loads 16 maps at a time; the coordinator repeats its order. The test failed before (more than 256 loads at a time) and passes.

--- a/targetd/group/driver.go
+++ b/targetd/group/driver.go
@@ -113,7 +113,10 @@
 	}
 }
 
-// startLoads starts loading those of the maps that are not being loaded yet. Loading continues
+// maxLoads bounds the maps that a rank loads at a time. A coordinator repeats its order to load another one.
+const maxLoads = 16
+
+// startLoads starts loading those of the maps that are not being loaded yet, maxLoads at a time. Loading continues
 // after it returns, until ctx ends. The caller does not hold d.mu.
 func (d *Driver) startLoads(ctx context.Context, rank int, maps []expertmap.MapID) {
 	d.mu.Lock()
@@ -122,7 +125,7 @@
 		d.loading[rank] = map[expertmap.MapID]bool{}
 	}
 	for _, m := range maps {
-		if d.loading[rank][m] {
+		if d.loading[rank][m] || len(d.loading[rank]) >= maxLoads {
 			continue
 		}
 		d.loading[rank][m] = true
