Store view: bound the targets that updates of peers add

An entry added every target in an update of a peer to its registry. Updates that would make it hold over 16,384 targets aren't applied now; the store is read instead.

--- a/entryd/storeview/peers.go
+++ b/entryd/storeview/peers.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// maxPeerTargets is the number of targets, far above that of any fleet, up to which records of peers are applied.
+const maxPeerTargets = 16384
+
 // ApplyUpdate applies what a peer has read from the store. It renews the freshness proof
 // only if the peer had a heartbeat of this entry (AsOf is set) and this entry has the
 // configuration that the peer found. It postpones this entry's own next read only if it
@@ -80,7 +83,11 @@
 	if m.Configuration <= routesOffset && m.AsOf > 0 && m.RegistryRead && m.End >= v.targetsOffset {
 		v.scheduleRead(maxViewAge)
 	}
+	isFull := v.targets.Len()+len(m.Targets) > maxPeerTargets
 	v.mu.Unlock()
+	if isFull {
+		return // only the store is trusted with so many
+	}
 	v.applyRecords(m.From, Records{Raw: m.Targets, End: m.End})
 	if m.RegistryRead {
 		v.recordConfirmation()
