--- a/entryd/httpapi/httpapi.go
+++ b/entryd/httpapi/httpapi.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,22 +83,30 @@
 
 // Server serves the HTTP interface for callers. It is safe for concurrent use.
 type Server struct {
-	config Config
+	config      Config
+	ending      context.Context // ended by EndRequests; its cause is the failure for callers
+	endRequests context.CancelCauseFunc
 
 	unbounded *bytebudget.Budget // used without Config.Budget
 
 	mu      sync.Mutex
 	limiter *limit.Limiter
+	drain   drain
 }
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c, unbounded: bytebudget.New(bytebudget.Config{Bytes: math.MaxInt64, StallTime: math.MaxInt64, Now: time.Now}), limiter: limit.NewLimiter(c.LimitShare)}
+	ending, endRequests := context.WithCancelCause(context.Background())
+	return &Server{
+		config: c, ending: ending, endRequests: endRequests, limiter: limit.NewLimiter(c.LimitShare),
+		unbounded: bytebudget.New(bytebudget.Config{Bytes: math.MaxInt64, StallTime: math.MaxInt64, Now: time.Now}),
+	}
 }
 
 // Handler returns the HTTP handler of all paths.
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Use(s.announceDrain)
 	router.Get("/v1/addresses", s.addresses)
 	router.Group(func(r chi.Router) {
 		r.Use(s.authenticate)
@@ -192,7 +201,7 @@
 		return request, failure
 	}
 	request.Version = r.Header.Get(HeaderVersion)
-	request.Body, failure = s.readBody(r, hold)
+	request.Body, failure = s.readBody(w, r, hold, deadline)
 	return request, failure
 }
 
@@ -235,14 +244,20 @@
 	return budget.Open(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
 }
 
-// readBody reads the whole body, up to maxBodyBytes, and reserves what passing it on takes.
-func (s *Server) readBody(r *http.Request, hold *bytebudget.Hold) ([]byte, *contract.Failure) {
+// readBody reads the whole body, up to maxBodyBytes, until the deadline or EndRequests, and reserves what passing it on
+// takes.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, hold *bytebudget.Hold, deadline time.Time) ([]byte, *contract.Failure) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline) // fails only on a closed connection
+	unlink := context.AfterFunc(s.ending, func() { _ = controller.SetReadDeadline(s.config.Now()) })
+	defer unlink()
 	body, err := bytebudget.ReadBody(r.Body, hold, maxBodyBytes, r.ContentLength)
 	if err == nil && body.Len() > bytebudget.FreeBytes && !hold.Grow(passedOnCopies*body.Len()) {
 		err = bytebudget.ErrFull
 	}
 	switch {
 	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
 		return body.Bytes(), nil
 	case errors.Is(err, bytebudget.ErrTooLarge):
 		return nil, contract.NewFailure(contract.KindTooLarge,
@@ -252,6 +267,13 @@
 			"the entry has no memory left for the body", "send it again, to another address if there is one").
 			WithRetryAt(s.config.Now().Add(fullRetryAfter))
 	}
+	if s.ending.Err() != nil {
+		return nil, contract.AsFailure(context.Cause(s.ending))
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, contract.NewFailure(contract.KindDeadline,
+			"the deadline passed before the whole body had come", "send the body faster or allow more time").WithRetryAt(s.config.Now())
+	}
 	return nil, contract.NewFailure(contract.KindInvalidRequest, "the body could not be read: "+err.Error(), "send it again")
 }
 
--- a/parts/daemon/program.go
+++ b/parts/daemon/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -19,6 +20,8 @@
 	Name     string
 	LogLevel string
 	MemoryMB float64 // memory of the process in MiB; 0 if it is not known
+	// StopTimeout bounds a graceful shutdown.
+	StopTimeout time.Duration
 }
 
 // Program is the command line of a daemon with settings of type S. Its commands are
@@ -63,7 +66,7 @@
 	if err != nil {
 		return commandline.NewExitError(commandline.ExitUsage, err)
 	}
-	if err := Run(ctx, p.Kernel(s, log), PartLogger(log, "kernel")); err != nil {
+	if err := Run(ctx, p.Kernel(s, log), PartLogger(log, "kernel"), common.StopTimeout); err != nil {
 		return commandline.NewExitError(commandline.ExitFailed, err)
 	}
 	return nil
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -438,3 +438,53 @@
 		})
 	}
 }
+
+// TestRequestAfterResponseOfStoppingServerIsAnswered guards against a stop that closes a connection as soon as a response
+// has ended that was begun before the stop and doesn't tell its caller that the connection closes.
+func TestRequestAfterResponseOfStoppingServerIsAnswered(t *testing.T) {
+	is := is.New(t)
+	server, conn, running, release := startHeld(t)
+	_, err := io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-running
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	time.Sleep(50 * time.Millisecond) // the server closes all connections that wait
+	close(release)
+	reader := bufio.NewReader(conn)
+	body, err := readBody(reader)
+	is.NoErr(err)
+	is.Equal(body, "/held")
+	time.Sleep(100 * time.Millisecond)
+	body, err = get(conn, reader, "/second")
+	is.NoErr(err)
+	is.Equal(body, "/second")
+	is.NoErr(<-stopped)
+}
+
+// TestStopWaitsForHijackedConnections guards against a process that ends between the moment in which a handler takes a
+// connection over and that in which it closes it, so that an incomplete response ends like a complete one.
+func TestStopWaitsForHijackedConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
+	hijacked := make(chan net.Conn)
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			hijacked <- conn
+		}))
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.0\r\n\r\n")
+	is.NoErr(err)
+	taken := <-hijacked
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	is.Equal(server.Stop(ctx), context.DeadlineExceeded)
+	is.NoErr(taken.Close())
+	is.NoErr(server.Stop(t.Context()))
+}
--- a/targetd/command/command.go
+++ b/targetd/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/settings"
@@ -16,7 +17,7 @@
 		Defaults: Defaults,
 		Checked:  func(s *Settings) settings.Checkable { return s },
 		Common: func(s Settings) daemon.Settings {
-			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, MemoryMB: s.MemoryMB}
+			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, MemoryMB: s.MemoryMB, StopTimeout: time.Duration(s.StopTimeout)}
 		},
 		Kernel: newKernel,
 	}
