Gate test: call through a link

TestCallOfUnknownClassIsRefused called the method without a connection, which a goroutine of the gate waits for: it panicked in 1 of 1 run with the race detector.

--- a/targetd/gate/refusal_test.go
+++ b/targetd/gate/refusal_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"camphormill.dev/parts/contract"
+	"camphormill.dev/parts/link"
 	"camphormill.dev/targetd/gate"
 )
 
@@ -38,12 +40,14 @@
 		is.Equal(call.Class, contract.ClassInteractive)
 		return contract.Answer{Outcome: contract.OutcomeDone}
 	})
-	run := g.Methods("a", gate.ConfigurationSync{})[contract.MethodRun]
+	near, far := net.Pipe()
+	defer link.NewConn(far, g.Methods("a", gate.ConfigurationSync{})).Close()
+	entry := link.NewConn(near, nil)
+	defer entry.Close()
 	for class, outcome := range map[contract.Class]contract.Outcome{"": contract.OutcomeDone, "stranger": contract.OutcomeNotRun} {
-		params, err := json.Marshal(contract.Call{Kind: contract.WorkService, ServiceName: "s", Class: class, Deadline: time.Now().Add(time.Minute)})
-		is.NoErr(err)
-		answer, err := run.Run(t.Context(), nil, params)
-		is.NoErr(err)
-		is.Equal(answer.(contract.Answer).Outcome, outcome)
+		call := contract.Call{Kind: contract.WorkService, ServiceName: "s", Class: class, Deadline: time.Now().Add(time.Minute)}
+		var answer contract.Answer
+		is.NoErr(entry.Call(t.Context(), contract.MethodRun, call, &answer))
+		is.Equal(answer.Outcome, outcome)
 	}
 }
