--- a/targetd/command/services.go
+++ b/targetd/command/services.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/contract"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/kernel"
@@ -42,16 +43,21 @@
 	servicePlannerLoop     = "planning"
 )
 
+// answerShare is the share of the memory for the answers of reserved calls, which are kept for as long as the reservations
+// are valid.
+const answerShare = 0.2
+
 // newKernel returns a kernel with the services of targetd.
 func newKernel(s Settings, log zerolog.Logger) *kernel.Kernel {
 	k := kernel.New()
+	budget, shares := bytebudget.ForProcess(s.MemoryMB), daemon.NewShares(s.MaxDescriptors, s.MemoryMB)
 	k.Register(valueService(serviceMetrics, metrics.NewSet()))
 	k.Register(valueService(serviceReadiness, daemon.NewReadiness("starting")))
 	k.Register(valueService(serviceConfiguration, preset.NewStore()))
-	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, daemon.Limits{}, newOperationsHandler))
+	k.Register(daemon.HTTPService(serviceOperations, s.OperationsAddress, []string{serviceMetrics, serviceReadiness}, daemon.Limits{Connections: shares.Operations, Budget: budget}, newOperationsHandler))
 	k.Register(gateService(s))
 	registerGroup(k, s.Group, daemon.PartLogger(log, serviceGroup))
-	k.Register(linkService(s, daemon.PartLogger(log, serviceLink)))
+	k.Register(linkService(s, link.Limits{Connections: shares.Callers, Budget: budget}, daemon.PartLogger(log, serviceLink)))
 	k.Register(drainService(daemon.PartLogger(log, serviceDrain)))
 	return k
 }
@@ -80,6 +86,7 @@
 			Ledger: reservation.NewLedger(reservation.LedgerConfig{
 				Target: s.Name, Incarnation: incarnation,
 				Capacity: s.MaxReservations, MaxAhead: time.Duration(s.MaxReservationWindow),
+				MaxAnswerBytes: int(answerShare * s.MemoryMB * (1 << 20)),
 			}),
 			Work:   withWorkMetrics(s, kernel.Get[*metrics.Set](k, serviceMetrics), newWork(s)),
 			Now:    time.Now,
@@ -110,8 +117,8 @@
 	}
 }
 
-func linkService(s Settings, log zerolog.Logger) kernel.Service {
-	server := &link.Server{}
+func linkService(s Settings, limits link.Limits, log zerolog.Logger) kernel.Service {
+	server := &link.Server{Limits: limits, Log: log}
 	start := func(_ context.Context, k *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.LinkAddress)
 		if err != nil {
@@ -126,6 +133,7 @@
 			// The context must outlive the order, because loading continues after the answer.
 			maps.Copy(server.Methods, d.Methods(context.Background()))
 		}
+		daemon.ObserveLink(kernel.Get[*metrics.Set](k, serviceMetrics), server, limits.Budget)
 		go server.Serve(listener)
 		return server, nil
 	}
@@ -133,7 +141,7 @@
 		server.Close() // needed only if targetd failed to start; otherwise drainService has closed the server
 		return nil
 	}
-	return kernel.Service{Name: serviceLink, Needs: []string{serviceGate, serviceConfiguration, serviceGroup}, Start: start, Stop: stop}
+	return kernel.Service{Name: serviceLink, Needs: []string{serviceMetrics, serviceGate, serviceConfiguration, serviceGroup}, Start: start, Stop: stop}
 }
 
 // fetchTimeout bounds the fetch of a configuration from an entry.
