A request that has arrived is answered when its connection's idle time is over

What callers saw: suspected only: a kept connection reset with a whole request sent on it, without a stop.

Cause: the same as of the waiting connections that a stop closed. The end of the idle time is a deadline for reading; once it has passed, the poller fails the read without trying it, although a request may have arrived while the reading goroutine had no processor time.

Evidence: TestRequestInBuffersOfIdleConnectionIsAnswered; without the change it fails with connection reset by peer.

Why it works: a connection that waits for a request looks for bytes that have come after any deadline, not only that of a stop.

Result: the tests of parts/daemon pass, twice, and once with the race detector.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -227,7 +227,7 @@
 		c.recordRequest()
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
 		if n = readArrived(c.Conn, p); n > 0 {
 			err = nil
 		}
@@ -287,10 +287,10 @@
 	return c.Conn.Close()
 }
 
-func (c *trackedConn) isClosing() bool {
+func (c *trackedConn) isWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing
+	return c.waiting
 }
 
 // closeIfWaiting ends the reading of a connection on which no request has begun to arrive, so that the HTTP
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -488,3 +488,32 @@
 	is.NoErr(taken.Close())
 	is.NoErr(server.Stop(t.Context()))
 }
+
+// TestRequestInBuffersOfIdleConnectionIsAnswered guards against a connection that is closed when its idle time is over
+// although a request has arrived and waits for the server to read it.
+func TestRequestInBuffersOfIdleConnectionIsAnswered(t *testing.T) {
+	is := is.New(t)
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	const afterFirstRequest = 2 // after the request and the watch on its caller
+	listener := &heldReadListener{Listener: opened, held: afterFirstRequest, reading: make(chan struct{}), release: make(chan struct{})}
+	const idleTimeout = 50 * time.Millisecond
+	server := daemon.NewServer(&http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: time.Second})
+	go func() { _ = server.Serve(listener, echoPath) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", opened.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	body, err := get(conn, reader, "/first")
+	is.NoErr(err)
+	is.Equal(body, "/first")
+	<-listener.reading
+	_, err = io.WriteString(conn, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(2 * idleTimeout)
+	close(listener.release)
+	body, err = readBody(reader)
+	is.NoErr(err)
+	is.Equal(body, "/second")
+}
