Ask again before each attempt whether a stream ends before the stop

What callers saw: suspected only: a stream cut off at the end of a stop though its head had come before the stop or another attempt of it had been refused. Found by review.

Cause: whether a request outlasts the stop was decided once, when its head had come; the body, the wait for a slot and a further attempt after a refusal may carry it into a stop, and it was then passed on with a deadline behind the cut-off.

Evidence: TestStreamWhoseBodyEndsDuringStopIsRefused and TestStreamRetriedDuringStopIsRefused failed before (200 instead of 503).

Why it works: the same decision is taken before each attempt, as long as nothing may have run and the caller has got nothing.

--- a/entryd/relay/draining.go
+++ b/entryd/relay/draining.go
@@ -100,8 +100,7 @@
 )
 
 // outlastsStop reports whether the entry may stop before the response to a request that has just come is
-// complete. An estimate is enough for a call, which has its answer also at the end of the stop, but not for a stream:
-// one that has begun can only be cut off then.
+// complete. It records what says so.
 func (rl *Relay) outlastsStop(c *call) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
@@ -110,20 +109,41 @@
 	}
 	now := rl.config.Now()
 	c.intoStop = now.Sub(rl.drain.StartedAt)
-	if !c.deadline.After(rl.drain.CutOff) {
-		c.acceptedBy = byDeadline
+	basis, ends := rl.stopBasis(now, c)
+	c.acceptedBy = basis
+	return !ends
+}
+
+// mustLeave reports whether a request that is about to be sent to a target may outlast the stop, which may have begun
+// since it came, and can still be refused as not run.
+func (rl *Relay) mustLeave(c *call) bool {
+	if c.headSent || c.mayHaveRun {
+		return false
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if rl.drain == nil {
 		return false
 	}
+	_, ends := rl.stopBasis(rl.config.Now(), c)
+	return !ends
+}
+
+// stopBasis returns what tells whether a response ends before the entry stops, and whether it does. An estimate is
+// enough for a call, which has its answer also at the end of the stop, but not for a stream: one that has begun can only
+// be cut off then. The caller holds rl.mu, and the entry drains.
+func (rl *Relay) stopBasis(now time.Time, c *call) (stopBasis, bool) {
+	if !c.deadline.After(rl.drain.CutOff) {
+		return byDeadline, true
+	}
 	if c.route.Repeat == routes.Stream {
-		return true
+		return "", false
 	}
 	longest, known := rl.responseTimes.longest(now, c.route.Name, c.info.MaxOutputTokens)
 	if !known {
-		c.acceptedBy = byNothing
-		return !now.Before(rl.drain.OnlyKnownFrom)
+		return byNothing, now.Before(rl.drain.OnlyKnownFrom)
 	}
-	c.acceptedBy = byEstimate
-	return now.Add(time.Duration(drainMargin * float64(longest))).After(rl.drain.CutOff)
+	return byEstimate, !now.Add(time.Duration(drainMargin * float64(longest))).After(rl.drain.CutOff)
 }
 
 // leavingRetryAfter returns the retry-after of a request that a draining entry refuses: at once if another entry can
--- a/entryd/relay/draining_test.go
+++ b/entryd/relay/draining_test.go
@@ -1,7 +1,9 @@
 package relay_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -111,3 +113,49 @@
 		is.Equal(header.Get("Retry-After"), expected)
 	}
 }
+
+// TestStreamWhoseBodyEndsDuringStopIsRefused guards against a stream that is passed on during a stop that it may outlast,
+// because its head came before the stop.
+func TestStreamWhoseBodyEndsDuringStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 1, Timeout: 8 * time.Second}, takes(0))
+	conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: key\r\nContent-Length: 2\r\n\r\na")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond) // the entry reads the body
+	now := time.Now()
+	e.relay.StartDrain(relay.Drain{StartedAt: now, CutOff: now.Add(time.Second), OnlyKnownFrom: now})
+	_, err = io.WriteString(conn, "b")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(e.runCount(), 0)
+}
+
+// TestStreamRetriedDuringStopIsRefused guards against a stream that is sent to a further target during a stop that it may
+// outlast, before its caller has got anything.
+func TestStreamRetriedDuringStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	var e *entry
+	drain := func(_ *entry, w http.ResponseWriter, _ *http.Request) {
+		now := time.Now()
+		e.relay.StartDrain(relay.Drain{StartedAt: now, CutOff: now.Add(time.Second), OnlyKnownFrom: now})
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	ran := 0
+	serve := func(_ *entry, w http.ResponseWriter, r *http.Request) {
+		if ran++; ran == 1 {
+			drain(nil, w, r)
+			return
+		}
+		_, _ = io.WriteString(w, "ran")
+	}
+	e = start(t, routes.Route{Repeat: routes.Stream, MaxAttempts: 3, Timeout: 8 * time.Second}, serve, serve)
+	status, _, _, err := e.call(t, http.MethodPost, "/r/x", "key")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -227,6 +227,11 @@
 			lastRefusal = *refused
 			break
 		}
+		if rl.mustLeave(c) {
+			grant.release()
+			lastRefusal = refusal{http.StatusServiceUnavailable, "leaving", rl.leavingRetryAfter()}
+			break
+		}
 		result := rl.attempt(ctx, c, target, grant)
 		if result.moved { // the request holds a retry
 			if next, ok := rl.readyTargetAt(c, rl.config.Slots.currentEngine(grant)); ok {
