Wait for the connections of the last answers, not only for their handlers

What callers saw: suspected only (by reading, no run showed it): a request that is ended at the end of a stop without its 504 or 503. The server was closed once no handler ran, but net/http writes a small response after its handler has returned. The stop now waits for the connections themselves, for the same 150 ms.

--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -50,8 +50,7 @@
 	// running requests are cut off.
 	exitReserve = 300 * time.Millisecond
 	// answerReserve is the part of exitReserve in which the requests that are ended get their answers.
-	answerReserve      = 150 * time.Millisecond
-	answerPollInterval = 5 * time.Millisecond
+	answerReserve = 150 * time.Millisecond
 	// proofAgeShare is the share of the bounds on revoked keys and on evacuated zones that the age of the
 	// routes' freshness proof may use. The rest is for the request to reach its target.
 	proofAgeShare = 0.75
@@ -384,12 +383,14 @@
 			StartedAt: startedAt, CutOff: deadline, OnlyKnownFrom: startedAt.Add(minDrainTime),
 			OthersReady: func() bool { return len(s.mesh.ReadyEntries()) > 0 },
 		})
-		ctx, cancel := context.WithDeadline(ctx, deadline)
+		work, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
-		if err := server.Stop(ctx); err != nil {
+		if err := server.Stop(work); err != nil {
 			s.config.Log.Warn().Err(err).Int64("requests", s.inFlight.Load()).Msg("stop time is over; ending running requests")
 			s.relay.EndRequests()
-			s.awaitAnswers(time.Now().Add(answerReserve))
+			answers, cancel := context.WithTimeout(ctx, answerReserve)
+			defer cancel()
+			_ = server.Stop(answers) // what remains is closed in any case
 			return server.Close()
 		}
 		return nil
@@ -397,13 +398,6 @@
 	return kernel.Service{Name: "callers", Needs: []string{"mesh", "ready", "directory", "board", "messages", "beats"}, Start: start, Stop: stop}
 }
 
-// awaitAnswers waits until no request runs, or until the deadline.
-func (s *Server) awaitAnswers(deadline time.Time) {
-	for s.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(answerPollInterval)
-	}
-}
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.lastRequestAt.Store(int64(freshness.Now()))
 	s.inFlight.Add(1)
