--- a/targetd/gate/gate.go
+++ b/targetd/gate/gate.go
@@ -156,6 +156,10 @@
 		return contract.NotRunAnswer(f)
 	}
 	start := g.config.Now()
+	if g.ending.Err() != nil { // it left the queue because others were ended
+		g.release(call.Attempt, 0)
+		return contract.NotRunAnswer(drainingFailure())
+	}
 	workCtx, cancel := g.workContext(ctx, call)
 	answer := g.config.Work(workCtx, call, emit)
 	cancel()
