A stop takes queued connections also without descriptors, and ends after its listener has failed

What callers saw: suspected only: requests reset in the listener's queue. Found by review, two cases of one stop: a process without a free descriptor took the queue for empty and closed the listener; and a stop waited for the whole stop time for a listener that had failed before.

Evidence: TestStopWaitsForDescriptors (connection reset) and TestStopAfterServeHasEnded (deadline exceeded) failed before.

Why it works: a missing descriptor is a temporary error, after which the server tries again until the stop time is over; the end of Serve, for whatever reason, ends the wait.

--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -56,6 +56,7 @@
 	s.listener = tracked
 	s.mu.Unlock()
 	err := s.http.Serve(tracked)
+	tracked.end()
 	if s.stopping.Load() {
 		return nil
 	}
@@ -137,6 +138,7 @@
 	closeErr  error
 	ended     chan struct{} // closed when the server of the listener has stopped accepting
 	endOnce   sync.Once
+	queued    *os.File // accepted while there was no descriptor to use it; only for Accept
 }
 
 // Close closes the listener. Both Stop and the HTTP server close it, and a second close would fail.
@@ -161,12 +163,9 @@
 func (l *trackingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil && l.server.stopping.Load() {
-		if conn = l.acceptQueued(); conn == nil {
-			_ = l.Close()
-			l.endOnce.Do(func() { close(l.ended) })
-			return nil, net.ErrClosed
-		}
-	} else if err != nil {
+		conn, err = l.acceptQueued()
+	}
+	if err != nil {
 		return nil, err
 	}
 	tracked := &trackedConn{Conn: conn, onClose: l.server.remove, waiting: true, waitingUntil: time.Now().Add(nextRequestTime)}
@@ -176,17 +175,41 @@
 	return tracked, nil
 }
 
-// acceptQueued returns a connection that the kernel has accepted, or nil if there is none.
-func (l *trackingListener) acceptQueued() net.Conn {
+// acceptQueued returns a connection that the kernel has accepted. If there is none, it closes the listener. Without
+// descriptors, its error is temporary: connections that end leave some.
+func (l *trackingListener) acceptQueued() (net.Conn, error) {
+	if l.queued == nil {
+		accepted, err := l.acceptNow()
+		if isTemporary(err) {
+			return nil, err
+		}
+		if err != nil {
+			_ = l.Close()
+			l.end()
+			return nil, net.ErrClosed
+		}
+		l.queued = os.NewFile(uintptr(accepted), "connection")
+	}
+	conn, err := net.FileConn(l.queued) // a duplicate
+	if isTemporary(err) {
+		return nil, temporary(err)
+	}
+	_ = l.queued.Close()
+	l.queued = nil
+	return conn, err
+}
+
+// acceptNow accepts a connection without waiting, whatever the deadline of the listener.
+func (l *trackingListener) acceptNow() (accepted int, err error) {
 	source, ok := l.Listener.(syscall.Conn)
 	if !ok {
-		return nil
+		return 0, net.ErrClosed
 	}
 	control, err := source.SyscallConn()
 	if err != nil {
-		return nil
+		return 0, err
 	}
-	accepted, acceptErr := 0, error(unix.EAGAIN)
+	var acceptErr error
 	err = control.Control(func(fd uintptr) { // Read would fail, because the deadline has passed
 		for {
 			accepted, _, acceptErr = unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -195,18 +218,27 @@
 			}
 		}
 	})
-	if err != nil || acceptErr != nil {
-		return nil
-	}
-	file := os.NewFile(uintptr(accepted), "connection")
-	defer func() { _ = file.Close() }()
-	conn, err := net.FileConn(file) // a duplicate
 	if err != nil {
-		return nil
+		return 0, err
 	}
-	return conn
+	return accepted, acceptErr
 }
 
+// isTemporary reports whether an error says that there are no descriptors.
+func isTemporary(err error) bool { return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) }
+
+// temporary returns the system's error itself, which the HTTP server knows to be temporary.
+func temporary(err error) error {
+	var number syscall.Errno
+	if errors.As(err, &number) {
+		return number
+	}
+	return err
+}
+
+// end notes that the server has stopped accepting.
+func (l *trackingListener) end() { l.endOnce.Do(func() { close(l.ended) }) }
+
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -517,3 +518,59 @@
 	is.NoErr(err)
 	is.Equal(body, "/second")
 }
+
+// brokenListener is a listener whose Accept fails for good.
+type brokenListener struct {
+	net.Listener
+}
+
+// Accept fails.
+func (brokenListener) Accept() (net.Conn, error) { return nil, io.ErrClosedPipe }
+
+// TestStopAfterServeHasEnded guards against a stop that waits for a listener that nobody accepts from any more.
+func TestStopAfterServeHasEnded(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{})
+	is.Equal(server.Serve(brokenListener{listener}, echoPath), io.ErrClosedPipe)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(server.Stop(ctx))
+}
+
+// TestStopWaitsForDescriptors guards against a stop that resets connections with requests in the listener's queue because the
+// process has no descriptor left at that moment.
+func TestStopWaitsForDescriptors(t *testing.T) {
+	is := is.New(t)
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &heldListener{TCPListener: opened.(*net.TCPListener), before: make(chan struct{}), accepting: make(chan struct{}, 1)}
+	server := daemon.NewServer(&http.Server{})
+	go func() { _ = server.Serve(listener, echoPath) }()
+	conn, err := net.Dial("tcp", opened.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-listener.accepting
+	var limit syscall.Rlimit
+	is.NoErr(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	free, err := syscall.Open("/dev/null", syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
+	is.NoErr(err)
+	is.NoErr(syscall.Close(free))
+	none := limit
+	none.Cur = uint64(free) // the next descriptor is over the limit
+	is.NoErr(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none))
+	defer func() { _ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit) }()
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(listener.before)
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)) // others have been closed
+	body, err := readBody(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.Equal(body, "/x")
+	is.NoErr(<-stopped)
+}
