--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -204,15 +204,16 @@
 	}
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
-	return result{answered: true, broken: writeBody(c.writer, body) != nil}
+	return result{answered: true, broken: writeBody(c.writer, body, hold) != nil}
 }
 
-// writeBody writes a body to the caller.
-func writeBody(w io.Writer, body bytebudget.Body) error {
+// writeBody writes a body, for which there is a hold, to the caller.
+func writeBody(w io.Writer, body bytebudget.Body, hold *bytebudget.Hold) error {
 	for _, block := range body.Blocks() {
 		if _, err := w.Write(block); err != nil {
 			return err
 		}
+		hold.Progress()
 	}
 	return nil
 }
@@ -232,7 +233,7 @@
 func (rl *Relay) relayRest(ctx context.Context, c *call, t registry.Target, a *httpclient.Answer, prefix bytebudget.Body, hold *bytebudget.Hold) result {
 	c.writer.WriteHeader(a.StatusCode)
 	c.firstByteAt = rl.config.Now()
-	if writeBody(c.writer, prefix) != nil {
+	if writeBody(c.writer, prefix, hold) != nil {
 		return result{answered: true, broken: true}
 	}
 	hold.Close()
--- a/parts/bytebudget/bytebudget.go
+++ b/parts/bytebudget/bytebudget.go
@@ -2,6 +2,7 @@
 package bytebudget
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -119,24 +120,30 @@
 	return true
 }
 
-// evictStalled makes the stalest senders give way until the bytes are free or none is stalled. The caller holds b.mu.
+// evictStalled makes the stalest senders give way until the bytes are free, or none if that isn't enough. The caller
+// holds b.mu.
 func (b *Budget) evictStalled(now time.Time, except *Hold, bytes int64) {
-	for bytes > 0 {
-		var stalest *Hold
-		for h := range b.holds {
-			if h != except && h.bytes > 0 && now.Sub(h.progressAt) >= b.config.StallTime &&
-				(stalest == nil || h.progressAt.Before(stalest.progressAt)) {
-				stalest = h
-			}
+	var stalled []*Hold
+	sum := int64(0)
+	for h := range b.holds {
+		if h != except && h.bytes > 0 && now.Sub(h.progressAt) >= b.config.StallTime {
+			stalled = append(stalled, h)
+			sum += h.bytes
 		}
-		if stalest == nil {
+	}
+	if sum < bytes {
+		return
+	}
+	slices.SortFunc(stalled, func(x, y *Hold) int { return x.progressAt.Compare(y.progressAt) })
+	for _, h := range stalled {
+		if bytes <= 0 {
 			return
 		}
-		bytes -= stalest.bytes
+		bytes -= h.bytes
 		b.stats.Evicted++
-		stalest.evicted = true
-		stalest.release()
-		stalest.evict()
+		h.evicted = true
+		h.release()
+		h.evict()
 	}
 }
 
@@ -171,6 +178,14 @@
 	}
 }
 
+// Progress records that the holder's peer has done something.
+func (h *Hold) Progress() {
+	now := h.budget.config.Now()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.progressAt = now
+}
+
 // Evicted reports whether the sender has given way. A nil hold never does.
 func (h *Hold) Evicted() bool {
 	if h == nil {
--- a/parts/daemon/limits.go
+++ b/parts/daemon/limits.go
@@ -140,14 +140,8 @@
 	if s.limits.Connections <= 0 || len(s.connections) < s.limits.Connections {
 		return true
 	}
-	var first *trackedConn
-	var of activity
-	for c := range s.connections {
-		if a := c.currentActivity(); first == nil || a.givesWayBefore(of, now) {
-			first, of = c, a
-		}
-	}
-	if rank, _ := of.rank(now); first == nil || rank == 0 {
+	first := s.firstToGiveWay(now)
+	if first == nil || !first.giveWay(now) {
 		s.refused.Add(1)
 		return false
 	}
@@ -157,6 +151,30 @@
 	return true
 }
 
+// firstToGiveWay returns the connection that gives way first, nil if none does. One on which bytes have arrived that the
+// server has not read yet is as little stalled as idle. The caller holds s.mu.
+func (s *Server) firstToGiveWay(now time.Time) *trackedConn {
+	const attempts = 8
+	unread := map[*trackedConn]bool{}
+	for range attempts {
+		var first *trackedConn
+		var of activity
+		for c := range s.connections {
+			if a := c.currentActivity(); !unread[c] && (first == nil || a.givesWayBefore(of, now)) {
+				first, of = c, a
+			}
+		}
+		if rank, _ := of.rank(now); first == nil || rank == 0 {
+			return nil
+		}
+		if (of.phase != phaseOpened && of.phase != phaseIdle) || !hasArrived(first.Conn) {
+			return first
+		}
+		unread[first] = true
+	}
+	return nil
+}
+
 // bodyReader is the body of a request. It tells its connection when the whole body has come.
 type bodyReader struct {
 	io.ReadCloser
@@ -166,8 +184,8 @@
 // Read reads from the body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.conn.endBody()
+	if err == io.EOF && !b.conn.endBody() {
+		err = errGaveWay
 	}
 	return n, err
 }
@@ -175,14 +193,23 @@
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// trackBody makes the connection of a request tell a handler that waits for the body from one that runs. The function
-// that it returns must be called when the handler has returned.
-func trackBody(r *http.Request) func() {
+// trackBody makes the connection of a request tell a handler that waits for the body from one that runs. It returns the
+// request for the handler, and a function that must be called when the handler has returned. It aborts a request whose
+// connection has given way.
+func trackBody(r *http.Request) (*http.Request, func()) {
 	conn, ok := r.Context().Value(connectionKey{}).(*trackedConn)
-	if !ok || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return func() {}
+	if !ok {
+		return r, func() {}
+	}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		conn.settleHead()
+		if conn.hasGivenWay() {
+			panic(http.ErrAbortHandler)
+		}
+		return r, func() {}
 	}
 	conn.beginBody()
-	r.Body = &bodyReader{ReadCloser: r.Body, conn: conn}
-	return conn.endHandler
+	tracked := *r // the HTTP server looks at the body of the original
+	tracked.Body = &bodyReader{ReadCloser: r.Body, conn: conn}
+	return &tracked, conn.endHandler
 }
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -70,7 +70,8 @@
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		defer trackBody(r)()
+		r, end := trackBody(r)
+		defer end()
 		handler.ServeHTTP(w, r)
 	})
 	tracked := &trackingListener{Listener: listener, server: s, ended: make(chan struct{})}
@@ -78,6 +79,7 @@
 	s.listener = tracked
 	s.mu.Unlock()
 	err := s.http.Serve(tracked)
+	tracked.end()
 	if s.stopping.Load() {
 		return nil
 	}
@@ -161,6 +163,7 @@
 	closeErr  error
 	ended     chan struct{} // closed when the server of the listener has stopped accepting
 	endOnce   sync.Once
+	queued    *os.File // accepted while there was no descriptor to use it; only for Accept
 }
 
 // Close closes the listener. Both Stop and the HTTP server close it, and a second close would fail.
@@ -197,15 +200,10 @@
 // accept is Accept without the bound on connections.
 func (l *trackingListener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil || !l.server.stopping.Load() {
-		return conn, err
+	if err != nil && l.server.stopping.Load() {
+		return l.acceptQueued()
 	}
-	if conn = l.acceptQueued(); conn != nil {
-		return conn, nil
-	}
-	_ = l.Close()
-	l.endOnce.Do(func() { close(l.ended) })
-	return nil, net.ErrClosed
+	return conn, err
 }
 
 // track adds a connection to those of the server. If there is no room for it, it closes the connection and returns nil.
@@ -225,17 +223,41 @@
 	return tracked
 }
 
-// acceptQueued returns a connection that the kernel has accepted, or nil if there is none.
-func (l *trackingListener) acceptQueued() net.Conn {
+// acceptQueued returns a connection that the kernel has accepted. If there is none, it closes the listener. Without
+// descriptors, its error is temporary: connections that end leave some.
+func (l *trackingListener) acceptQueued() (net.Conn, error) {
+	if l.queued == nil {
+		accepted, err := l.acceptNow()
+		if isTemporary(err) {
+			return nil, err
+		}
+		if err != nil {
+			_ = l.Close()
+			l.end()
+			return nil, net.ErrClosed
+		}
+		l.queued = os.NewFile(uintptr(accepted), "connection")
+	}
+	conn, err := net.FileConn(l.queued) // a duplicate
+	if isTemporary(err) {
+		return nil, temporary(err)
+	}
+	_ = l.queued.Close()
+	l.queued = nil
+	return conn, err
+}
+
+// acceptNow accepts a connection without waiting, whatever the deadline of the listener.
+func (l *trackingListener) acceptNow() (accepted int, err error) {
 	source, ok := l.Listener.(syscall.Conn)
 	if !ok {
-		return nil
+		return 0, net.ErrClosed
 	}
 	control, err := source.SyscallConn()
 	if err != nil {
-		return nil
+		return 0, err
 	}
-	accepted, acceptErr := 0, error(unix.EAGAIN)
+	var acceptErr error
 	err = control.Control(func(fd uintptr) { // Read would fail, because the deadline has passed
 		for {
 			accepted, _, acceptErr = unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -244,18 +266,27 @@
 			}
 		}
 	})
-	if err != nil || acceptErr != nil {
-		return nil
-	}
-	file := os.NewFile(uintptr(accepted), "connection")
-	defer func() { _ = file.Close() }()
-	conn, err := net.FileConn(file) // a duplicate
 	if err != nil {
-		return nil
+		return 0, err
+	}
+	return accepted, acceptErr
+}
+
+// isTemporary reports whether an error says that there are no descriptors.
+func isTemporary(err error) bool { return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) }
+
+// temporary returns the system's error itself, which the HTTP server knows to be temporary.
+func temporary(err error) error {
+	var number syscall.Errno
+	if errors.As(err, &number) {
+		return number
 	}
-	return conn
+	return err
 }
 
+// end notes that the server has stopped accepting.
+func (l *trackingListener) end() { l.endOnce.Do(func() { close(l.ended) }) }
+
 // trackedConn is a connection of a Server.
 type trackedConn struct {
 	net.Conn
@@ -264,6 +295,7 @@
 
 	mu            sync.Mutex
 	activity      activity
+	gaveWay       bool // the connection is closed, and no further request of it runs
 	headBytes     int
 	headReserved  int              // bytes of the head for which there is room
 	headHold      *bytebudget.Hold // nil while the head is small
@@ -284,7 +316,7 @@
 		c.recordRequest()
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
 		if n = readArrived(c.Conn, p); n > 0 {
 			err = nil
 		}
@@ -292,7 +324,7 @@
 	if n > 0 {
 		c.recordRequest()
 		if !c.recordRead(n) {
-			return 0, errNoRoom
+			return 0, &net.OpError{Op: "read", Err: errGaveWay} // the HTTP server answers no other error with nothing
 		}
 	}
 	return n, err
@@ -329,6 +361,24 @@
 	return n
 }
 
+// hasArrived reports whether bytes have arrived that nobody has read.
+func hasArrived(conn net.Conn) bool {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = control.Control(func(fd uintptr) { // fails only on a closed connection
+		var first [1]byte
+		n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // SetReadDeadline sets the deadline for reading, for a connection that is about to be closed when it is not closed
 // after all.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
@@ -350,10 +400,10 @@
 	return c.Conn.Close()
 }
 
-func (c *trackedConn) isClosing() bool {
+func (c *trackedConn) isWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing
+	return c.waiting
 }
 
 // closeIfWaiting ends the reading of a connection on which no request has begun to arrive, so that the HTTP
@@ -382,7 +432,7 @@
 	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.activity = activity{phase: phaseIdle, since: time.Now()}
+	c.activity, c.bodyUntil = activity{phase: phaseIdle, since: time.Now()}, time.Time{}
 	if !c.writeUntil.IsZero() {
 		c.writeUntil = time.Time{}
 		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails only on a closed connection
@@ -390,8 +440,8 @@
 	c.waiting, c.waitingUntil = true, time.Now().Add(nextRequestTime)
 }
 
-// errNoRoom reports a head for which there is no memory.
-var errNoRoom = errors.New("no memory for the head of the request is left; the connection is closed")
+// errGaveWay reports a connection that is closed to make room for others, or because there is no memory for a head.
+var errGaveWay = errors.New("the connection gives way to others; open it again later")
 
 func (c *trackedConn) currentActivity() activity {
 	c.mu.Lock()
@@ -399,7 +449,23 @@
 	return c.activity
 }
 
-// recordRead notes what the client has sent. It returns false if there is no room for the head of its request.
+// giveWay marks a connection that is about to be closed, unless its client has made progress meanwhile.
+func (c *trackedConn) giveWay(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rank, _ := c.activity.rank(now)
+	c.gaveWay = c.gaveWay || rank > 0
+	return rank > 0
+}
+
+func (c *trackedConn) hasGivenWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gaveWay
+}
+
+// recordRead notes what the client has sent. It returns false if the connection gives way, also because there is no room
+// for the head of its request.
 func (c *trackedConn) recordRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -414,7 +480,7 @@
 			c.unmarkedBytes, c.activity.since = 0, time.Now()
 		}
 	}
-	return c.growHead()
+	return !c.gaveWay && c.growHead()
 }
 
 // growHead reserves room for what has come of the head. The caller holds c.mu, which growHead gives up while it uses the
@@ -440,10 +506,21 @@
 // recordHead notes that the head of a request has come.
 func (c *trackedConn) recordHead() {
 	c.mu.Lock()
-	c.activity = activity{phase: phaseRunning, since: time.Now()}
+	defer c.mu.Unlock()
+	c.activity, c.bodyUntil = activity{phase: phaseRunning, since: time.Now()}, time.Time{}
+}
+
+// settleHead notes that the whole request has come, so that the room for its head no longer gives way.
+func (c *trackedConn) settleHead() {
+	c.mu.Lock()
 	hold := c.headHold
 	c.mu.Unlock()
-	hold.Settle()
+	if hold.Settle() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gaveWay = true
 }
 
 // releaseHead releases the room for the head of a request that has ended.
@@ -465,16 +542,19 @@
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 }
 
-// endBody notes that the whole body has come.
-func (c *trackedConn) endBody() {
+// endBody notes that the whole body has come. It returns false if the connection has given way before.
+func (c *trackedConn) endBody() bool {
+	c.settleHead()
 	c.mu.Lock()
-	if c.bodyUntil.IsZero() {
-		c.mu.Unlock()
-		return
+	due, gaveWay := !c.bodyUntil.IsZero(), c.gaveWay
+	if due {
+		c.activity.phase, c.bodyUntil = phaseRunning, time.Time{}
 	}
-	c.activity.phase, c.bodyUntil = phaseRunning, time.Time{}
 	c.mu.Unlock()
-	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	if due {
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+	return !gaveWay
 }
 
 // endHandler notes that a handler has returned. The HTTP server discards what has not come of the body, before it sends the
