--- a/entryd/command/command.go
+++ b/entryd/command/command.go
@@ -19,7 +19,7 @@
 		Defaults: Defaults,
 		Checked:  func(s *Settings) settings.Checkable { return s },
 		Common: func(s Settings) daemon.Settings {
-			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, StopTimeout: time.Duration(s.StopTimeout)}
+			return daemon.Settings{Name: s.Name, LogLevel: s.LogLevel, MemoryMB: s.MemoryMB, StopTimeout: time.Duration(s.StopTimeout)}
 		},
 		Kernel: newKernel,
 	}
--- a/entryd/frontend/frontend.go
+++ b/entryd/frontend/frontend.go
@@ -18,6 +18,7 @@
 
 	"camphormill.dev/entryd/relay"
 	"camphormill.dev/entryd/storeview"
+	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
 	"camphormill.dev/parts/freshness"
 	"camphormill.dev/parts/httpclient"
@@ -62,6 +63,8 @@
 	maxStrikesSent = 16
 	// orderTimeout bounds the wait for an engine's answer to an order.
 	orderTimeout = 120 * time.Millisecond
+	// maxOrders bounds the orders that are executed at a time.
+	maxOrders = 256
 	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
 	// It is longer than any limit that operators publish.
 	callerIdleTimeout = time.Minute
@@ -91,7 +94,11 @@
 	ColdOverage     float64          // factor of the published rate that a cold target takes for a second; 0: not known
 	StopTimeout     time.Duration    // how long a planned stop may take
 	RetryLimit      limit.RetryLimit // of all entries together, for each service
-	Log             zerolog.Logger
+	// Budget bounds what callers make the process hold.
+	Budget *bytebudget.Budget
+	// Shares are the connections that each server may have open.
+	Shares daemon.Shares
+	Log    zerolog.Logger
 }
 
 // Server is the state of a running entry.
@@ -109,6 +116,7 @@
 	draining      atomic.Bool
 	lastRequestAt atomic.Int64 // time of the last request, a freshness.Instant
 	inFlight      atomic.Int64 // running requests of callers
+	orders        atomic.Int64 // that are being executed
 }
 
 // RegisterServices registers the services of an entry with the kernel.
@@ -124,11 +132,12 @@
 	registerLoop("board", func(ctx context.Context) { s.view.Run(ctx) }) // the view of the platform's store
 	registerLoop("beats", s.runHeartbeats)
 	readiness := daemon.NewReadiness("")
-	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler {
+	operations := daemon.Limits{Connections: c.Shares.Operations, Budget: c.Budget}
+	k.Register(daemon.HTTPService("operations", c.MetricsAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler {
 		return daemon.NewOperationsRouter(set, readiness)
 	}))
-	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
-	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
+	k.Register(daemon.HTTPService("ready", c.ReadyAddress, []string{"mesh"}, operations, func(*kernel.Kernel) http.Handler { return c.NewReadyHandler(s) }))
+	k.Register(daemon.HTTPService("directory", c.DirectoryAddress, []string{"mesh"}, daemon.Limits{Connections: c.Shares.Directory, Budget: c.Budget}, func(*kernel.Kernel) http.Handler { return c.NewDirectoryHandler(s) }))
 	k.Register(s.callersService())
 }
 
@@ -173,13 +182,17 @@
 	s.slots = relay.NewSlotClient(relay.SlotClientConfig{Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "places")})
 	s.limits = relay.NewLimits(relay.LimitsConfig{
 		Mesh: s.mesh, Now: time.Now, Log: daemon.PartLogger(c.Log, "limits"), ColdRateFactor: relay.ColdRateFactor(c.ColdOverage),
+		Registered: func(target string) bool {
+			_, ok := s.view.Targets().Target(target)
+			return ok
+		},
 	})
 	s.client = httpclient.New(httpclient.Config{
 		ConnectTimeout: 400 * time.Millisecond, UnackedTimeout: 2 * time.Second, MaxIdlePerAddress: 4, IdleTimeout: 8 * time.Second,
 		Match: c.MatchResponse, Now: time.Now,
 	})
 	s.relay = relay.New(relay.Config{
-		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Now: time.Now,
+		Zone: c.Self.Zone, Protocol: c.Protocol, View: s.view, Slots: s.slots, Limits: s.limits, Client: s.client, Budget: c.Budget, Now: time.Now,
 		MaxProofAge: s.maxProofAge(), RetryLimit: c.RetryLimit, EntryCount: s.entryCount, SteadyClock: freshness.Now,
 		OnStrike: s.broadcastStrike, ShareParts: s.broadcastParts, Dial: net.DialTimeout, OnTargetDeath: s.metrics.countTargetDeath, OnRetry: s.metrics.countRetry, OnOutcome: s.metrics.observe, Log: daemon.PartLogger(c.Log, "relay"),
 	})
@@ -214,7 +227,7 @@
 		s.sendEngineSettings(from, m.RequestEngineSettings)
 	case m.Order != nil:
 		for _, o := range m.Order.ForEachEngine() {
-			go s.executeOrder(from, o)
+			s.startOrder(from, o)
 		}
 	default:
 		s.slots.Handle(from, m)
@@ -233,6 +246,19 @@
 	}
 }
 
+// startOrder executes an order in a new goroutine, unless there are maxOrders already. The leader repeats an order that is
+// dropped.
+func (s *Server) startOrder(from mesh.Host, o mesh.Order) {
+	if s.orders.Add(1) > maxOrders {
+		s.orders.Add(-1)
+		return
+	}
+	go func() {
+		defer s.orders.Add(-1)
+		s.executeOrder(from, o)
+	}()
+}
+
 // executeOrder passes a leader's order to an engine and sends the result to the leader. It
 // refuses an order whose fencing token is out of date. The leader repeats an order that gets
 // no result.
@@ -363,7 +389,8 @@
 func (s *Server) callersService() kernel.Service {
 	server := daemon.NewServer(&http.Server{
 		IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, DisableGeneralOptionsHandler: true,
-	})
+	}, daemon.Limits{Connections: s.config.Shares.Callers, Budget: s.config.Budget})
+	s.metrics.observeServer(server, s.config.Budget)
 	start := func(context.Context, *kernel.Kernel) (any, error) {
 		listener, err := net.Listen("tcp", s.config.CallersAddress)
 		if err != nil {
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"camphormill.dev/parts/bytebudget"
 )
 
 const (
@@ -28,27 +30,48 @@
 // Server is an HTTP server whose stop answers each request that it reads. Shutdown of http.Server closes
 // without an answer a connection whose request it has not yet read completely, or not yet begun to handle.
 type Server struct {
-	http     *http.Server
-	stopping atomic.Bool
+	http             *http.Server
+	limits           Limits
+	stopping         atomic.Bool
+	evicted, refused atomic.Int64 // connections
 
 	mu          sync.Mutex
 	listener    *trackingListener         // nil before Serve
 	connections map[*trackedConn]struct{} // open
 }
 
-// NewServer returns a server with the configuration of s, which must set neither Handler nor ConnState.
-func NewServer(s *http.Server) *Server {
-	server := &Server{http: s, connections: map[*trackedConn]struct{}{}}
+// NewServer returns a server with the configuration of s, which must set neither Handler, ConnState nor ConnContext.
+func NewServer(s *http.Server, limits Limits) *Server {
+	server := &Server{http: s, limits: limits, connections: map[*trackedConn]struct{}{}}
 	s.ConnState = server.recordState
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
 	return server
 }
 
+// ConnectionStats tells what the bound on a server's connections has done.
+type ConnectionStats struct {
+	Open    int
+	Evicted int64 // closed to make room
+	Refused int64 // closed at once, without room
+}
+
+// Connections returns what the bound on the connections has done.
+func (s *Server) Connections() ConnectionStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConnectionStats{Open: len(s.connections), Evicted: s.evicted.Load(), Refused: s.refused.Load()}
+}
+
 // Serve serves the handler until Stop. Its error is nil after Stop.
 func (s *Server) Serve(listener net.Listener, handler http.Handler) error {
 	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		r, end := trackBody(r)
+		defer end()
 		handler.ServeHTTP(w, r)
 	})
 	tracked := &trackingListener{Listener: listener, server: s, ended: make(chan struct{})}
@@ -118,6 +141,7 @@
 	switch state {
 	case http.StateActive:
 		c.recordRequest()
+		c.recordHead()
 	case http.StateIdle:
 		c.recordWaiting()
 	}
@@ -125,6 +149,7 @@
 
 // remove is called when a connection is closed, also by a handler that has taken it over.
 func (s *Server) remove(c *trackedConn) {
+	c.releaseHead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.connections, c)
@@ -161,18 +186,41 @@
 // Accept waits for the next connection. When the server stops, it returns those that wait to be accepted, and then an
 // error.
 func (l *trackingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.server.track(conn); tracked != nil {
+			return tracked, nil
+		}
+	}
+}
+
+// accept is Accept without the bound on connections.
+func (l *trackingListener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil && l.server.stopping.Load() {
-		conn, err = l.acceptQueued()
+		return l.acceptQueued()
 	}
-	if err != nil {
-		return nil, err
+	return conn, err
+}
+
+// track adds a connection to those of the server. If there is no room for it, it closes the connection and returns nil.
+func (s *Server) track(conn net.Conn) *trackedConn {
+	now := time.Now()
+	tracked := &trackedConn{
+		Conn: conn, onClose: s.remove, budget: s.limits.Budget, waiting: true, waitingUntil: now.Add(nextRequestTime),
+		activity: activity{phase: phaseOpened, since: now},
 	}
-	tracked := &trackedConn{Conn: conn, onClose: l.server.remove, waiting: true, waitingUntil: time.Now().Add(nextRequestTime)}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.connections[tracked] = struct{}{}
-	return tracked, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.makeRoom(now) {
+		_ = conn.Close()
+		return nil
+	}
+	s.connections[tracked] = struct{}{}
+	return tracked
 }
 
 // acceptQueued returns a connection that the kernel has accepted. If there is none, it closes the listener. Without
@@ -243,9 +291,18 @@
 type trackedConn struct {
 	net.Conn
 	onClose func(c *trackedConn)
-
-	mu      sync.Mutex
-	waiting bool // for the first byte of a request
+	budget  *bytebudget.Budget // nil: heads have no bound
+
+	mu            sync.Mutex
+	activity      activity
+	gaveWay       bool // the connection is closed, and no further request of it runs
+	headBytes     int
+	headReserved  int              // bytes of the head for which there is room
+	headHold      *bytebudget.Hold // nil while the head is small
+	unmarkedBytes int              // of a body, since the last progress
+	bodyUntil     time.Time        // by which the body must have come; zero if none is due
+	writeUntil    time.Time        // deadline for writing, as the HTTP server or the handler has set it
+	waiting       bool             // for the first byte of a request
 	// waitingUntil is the time before which a connection that waits is not closed.
 	waitingUntil time.Time
 	closing      bool      // reading ends at once, unless bytes have come
@@ -266,6 +323,9 @@
 	}
 	if n > 0 {
 		c.recordRequest()
+		if !c.recordRead(n) {
+			return 0, &net.OpError{Op: "read", Err: errGaveWay} // the HTTP server answers no other error with nothing
+		}
 	}
 	return n, err
 }
@@ -301,11 +361,32 @@
 	return n
 }
 
+// hasArrived reports whether bytes have arrived that nobody has read.
+func hasArrived(conn net.Conn) bool {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = control.Control(func(fd uintptr) { // fails only on a closed connection
+		var first [1]byte
+		n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // SetReadDeadline sets the deadline for reading, for a connection that is about to be closed when it is not closed
 // after all.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.bodyUntil.IsZero() && (t.IsZero() || t.After(c.bodyUntil)) {
+		t = c.bodyUntil
+	}
 	c.deadline = t
 	if c.closing {
 		return nil
@@ -348,7 +429,170 @@
 }
 
 func (c *trackedConn) recordWaiting() {
+	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.activity, c.bodyUntil = activity{phase: phaseIdle, since: time.Now()}, time.Time{}
+	if !c.writeUntil.IsZero() {
+		c.writeUntil = time.Time{}
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // fails only on a closed connection
+	}
 	c.waiting, c.waitingUntil = true, time.Now().Add(nextRequestTime)
 }
+
+// errGaveWay reports a connection that is closed to make room for others, or because there is no memory for a head.
+var errGaveWay = errors.New("the connection gives way to others; open it again later")
+
+func (c *trackedConn) currentActivity() activity {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.activity
+}
+
+// giveWay marks a connection that is about to be closed, unless its client has made progress meanwhile.
+func (c *trackedConn) giveWay(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rank, _ := c.activity.rank(now)
+	c.gaveWay = c.gaveWay || rank > 0
+	return rank > 0
+}
+
+func (c *trackedConn) hasGivenWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gaveWay
+}
+
+// recordRead notes what the client has sent. It returns false if the connection gives way, also because there is no room
+// for the head of its request.
+func (c *trackedConn) recordRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.activity.phase {
+	case phaseOpened, phaseIdle:
+		c.activity = activity{phase: phaseHead, since: time.Now()}
+		c.headBytes, c.headReserved = n, freeHeadBytes
+	case phaseHead:
+		c.headBytes += n
+	case phaseBody:
+		if c.unmarkedBytes += n; c.unmarkedBytes >= progressBytes {
+			c.unmarkedBytes, c.activity.since = 0, time.Now()
+		}
+	}
+	return !c.gaveWay && c.growHead()
+}
+
+// growHead reserves room for what has come of the head. The caller holds c.mu, which growHead gives up while it uses the
+// budget: that ends the reading of other connections.
+func (c *trackedConn) growHead() bool {
+	missing := c.headBytes - c.headReserved
+	if c.budget == nil || missing <= 0 {
+		return true
+	}
+	blocks := (missing + headBlockBytes - 1) / headBlockBytes
+	hold := c.headHold
+	c.mu.Unlock()
+	if hold == nil {
+		hold = c.budget.Open(func() { _ = c.Conn.Close() })
+	}
+	grown := hold.Grow(int64(blocks) * headCost * headBlockBytes)
+	c.mu.Lock()
+	c.headHold = hold
+	c.headReserved += blocks * headBlockBytes
+	return grown
+}
+
+// recordHead notes that the head of a request has come.
+func (c *trackedConn) recordHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity, c.bodyUntil = activity{phase: phaseRunning, since: time.Now()}, time.Time{}
+}
+
+// settleHead notes that the whole request has come, so that the room for its head no longer gives way.
+func (c *trackedConn) settleHead() {
+	c.mu.Lock()
+	hold := c.headHold
+	c.mu.Unlock()
+	if hold.Settle() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gaveWay = true
+}
+
+// releaseHead releases the room for the head of a request that has ended.
+func (c *trackedConn) releaseHead() {
+	c.mu.Lock()
+	hold := c.headHold
+	c.headHold, c.headBytes, c.headReserved = nil, 0, 0
+	c.mu.Unlock()
+	hold.Close()
+}
+
+// beginBody notes that a handler begins to wait for a body.
+func (c *trackedConn) beginBody() {
+	now := time.Now()
+	c.mu.Lock()
+	c.activity = activity{phase: phaseBody, since: now}
+	c.unmarkedBytes, c.bodyUntil = 0, now.Add(bodyTimeout)
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
+// endBody notes that the whole body has come. It returns false if the connection has given way before.
+func (c *trackedConn) endBody() bool {
+	c.settleHead()
+	c.mu.Lock()
+	due, gaveWay := !c.bodyUntil.IsZero(), c.gaveWay
+	if due {
+		c.activity.phase, c.bodyUntil = phaseRunning, time.Time{}
+	}
+	c.mu.Unlock()
+	if due {
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+	return !gaveWay
+}
+
+// endHandler notes that a handler has returned. The HTTP server discards what has not come of the body, before it sends the
+// response.
+func (c *trackedConn) endHandler() {
+	c.mu.Lock()
+	pending := !c.bodyUntil.IsZero()
+	c.mu.Unlock()
+	if pending {
+		_ = c.SetReadDeadline(time.Now().Add(discardTime)) // fails only on a closed connection
+	}
+}
+
+// Write writes to the client, which must read within writeStallTime.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	until := now.Add(writeStallTime)
+	if !c.writeUntil.IsZero() && c.writeUntil.Before(until) {
+		until = c.writeUntil
+	}
+	c.activity.writingAt = now
+	err := c.Conn.SetWriteDeadline(until)
+	c.mu.Unlock()
+	n := 0
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	}
+	c.mu.Lock()
+	c.activity.writingAt = time.Time{}
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetWriteDeadline sets the deadline for writing.
+func (c *trackedConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeUntil = t
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/parts/daemon/server_test.go
+++ b/parts/daemon/server_test.go
@@ -78,7 +78,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			slow := &slowListener{Listener: listener, hold: func(n int) bool { return n == held }, read: make(chan struct{}), release: make(chan struct{})}
-			server := daemon.NewServer(&http.Server{})
+			server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 			go func() { _ = server.Serve(slow, echoPath) }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			is.NoErr(err)
@@ -111,7 +111,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
@@ -138,7 +138,7 @@
 		ran := map[string]bool{}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
-		server := daemon.NewServer(&http.Server{})
+		server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 		go func() {
 			_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				mu.Lock()
@@ -195,7 +195,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	running := make(chan struct{})
 	go func() {
 		_ = server.Serve(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -234,7 +234,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(lateListener{listener}, http.NotFoundHandler()) }()
 	time.Sleep(50 * time.Millisecond) // the server accepts
@@ -281,7 +281,7 @@
 			opened, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			listener.TCPListener, listener.accepting = opened.(*net.TCPListener), make(chan struct{}, 1)
-			server := daemon.NewServer(&http.Server{})
+			server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 			served := make(chan error, 1)
 			go func() { served <- server.Serve(listener, echoPath) }()
 			var conns []net.Conn
@@ -356,7 +356,7 @@
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener := &heldReadListener{Listener: opened, reading: make(chan struct{}), release: make(chan struct{})}
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	conn, err := net.Dial("tcp", opened.Addr().String())
 	is.NoErr(err)
@@ -381,7 +381,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server = daemon.NewServer(&http.Server{})
+	server = daemon.NewServer(&http.Server{}, daemon.Limits{})
 	running, release = make(chan struct{}), make(chan struct{})
 	go func() {
 		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -469,7 +469,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	hijacked := make(chan net.Conn)
 	go func() {
 		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -499,7 +499,7 @@
 	const afterFirstRequest = 2 // after the request and the watch on its caller
 	listener := &heldReadListener{Listener: opened, held: afterFirstRequest, reading: make(chan struct{}), release: make(chan struct{})}
 	const idleTimeout = 50 * time.Millisecond
-	server := daemon.NewServer(&http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: time.Second})
+	server := daemon.NewServer(&http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: time.Second}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	t.Cleanup(func() { _ = server.Close() })
 	conn, err := net.Dial("tcp", opened.Addr().String())
@@ -532,7 +532,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	is.Equal(server.Serve(brokenListener{listener}, echoPath), io.ErrClosedPipe)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
@@ -546,7 +546,7 @@
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener := &heldListener{TCPListener: opened.(*net.TCPListener), before: make(chan struct{}), accepting: make(chan struct{}, 1)}
-	server := daemon.NewServer(&http.Server{})
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
 	go func() { _ = server.Serve(listener, echoPath) }()
 	conn, err := net.Dial("tcp", opened.Addr().String())
 	is.NoErr(err)
--- a/targetd/rankagent/reports.go
+++ b/targetd/rankagent/reports.go
@@ -19,7 +19,7 @@
 	direct     bool // read by the leader from the engine, because the rank's daemon is silent
 }
 
-// handleReport stores a report that a rank's daemon sent. A report of another group is ignored,
+// handleReport stores a report that a rank's daemon sent. A report of another group or of no rank of it is ignored,
 // and one whose sender follows a higher fence marks this leader as superseded.
 func (l *leader) handleReport(host string, r mesh.RankReport) {
 	l.mu.Lock()
@@ -28,6 +28,9 @@
 		l.superseded = l.superseded || (r.Group == l.group && r.Fence > l.claimFence)
 		return
 	}
+	if r.Rank < 0 || r.Rank >= l.size {
+		return
+	}
 	now := l.config.Now()
 	l.addChoices(r.Choices)
 	l.storeReport(now, rankReport{host: host, rank: r, receivedAt: now})
@@ -49,13 +52,19 @@
 	for _, r := range l.ranks {
 		reporting[r.host] = reporting[r.host] || (!r.direct && now.Sub(r.receivedAt) < silentAfter)
 	}
-	for _, h := range l.config.Mesh.Known(mesh.RoleTarget) {
+	known := l.config.Mesh.Known(mesh.RoleTarget)
+	if len(l.directReadAt) > 2*len(known) { // hosts that are no longer known
+		clear(l.directReadAt)
+		clear(l.otherGroup)
+	}
+	for _, h := range known {
 		interval := directReadInterval
 		if l.otherGroup[h.Name] {
 			interval = otherGroupReadInterval
 		}
-		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= interval {
+		if !reporting[h.Name] && now.Sub(l.directReadAt[h.Name]) >= interval && l.directReads < maxDirectReads {
 			l.directReadAt[h.Name] = now
+			l.directReads++
 			go l.readEngine(h)
 		}
 	}
@@ -66,6 +75,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	r, err := l.config.Engine.Read(ctx, h.Engine)
+	l.mu.Lock()
+	l.directReads--
+	l.mu.Unlock()
 	if err != nil {
 		l.log.Debug().Err(err).Str("host", h.Name).Msg("reading the engine of a silent daemon failed; retrying")
 		return
