--- a/camphormill/explain/explain.go
+++ b/camphormill/explain/explain.go
@@ -120,6 +120,8 @@
 	"no_route":           "no published route matches its host and path",
 	"unknown_key":        "its key belongs to no organisation",
 	"body_too_large":     "its body is over the published limit",
+	"body_late":          "its body had not come when its time was over; it did not run",
+	"no_memory":          "the entry had no memory left for its body, or its sender had stalled and gave way to others; it did not run",
 	"body_broken":        "the caller ended its body before it was complete",
 	"no_service":         "its route names a service that is not published",
 	"no_target":          "no target of its service is registered, or each was tried or failed; it did not run",
