A stream that its leader moves isn't cut off because one engine refuses it

What callers saw: a stream began with 200 and its connection was closed before the end, though its target went on. Not tied to a stop.

Cause: on the leader's order the entry cancels the running attempt and asks the new engine to resume. An answer that it did not run the request counted as an attempt, so that a route of two attempts had none left; and a leader that hadn't heard of it could name a target again which had failed the request.

Why it works: while the caller has a part of a stream, an attempt that did not run doesn't count; the retry budget and the bound on failed targets still do. A target that has failed the request is not used again, also if the leader names it.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -88,6 +88,9 @@
 	rl.recordAvailability(c, t, response.Response)
 	class := rl.config.Protocol.Classify(response.Response)
 	if class != Ran {
+		if c.headSent {
+			c.refusedResumes++
+		}
 		response.Discard(maxBufferedBody, discardTimeout)
 		fault := rl.config.Protocol.FailedTarget(response.Response)
 		rl.config.Log.Info().Str("request", c.info.AttemptID).Str("target", t.ID).Int("status", response.StatusCode).
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -163,14 +163,15 @@
 	lastEventID string // ID of the last event with an ID that was sent to the caller
 	// unresumable is set if events without an ID have been sent to the caller after it. It is also
 	// read by moves of the request.
-	unresumable   atomic.Bool
-	events        int       // number of events sent to the caller
-	attemptEvents int       // those of the latest attempt
-	sentAt        time.Time // when the latest attempt was sent; zero if there was none
-	attempts      int       // as in Outcome
-	mayHaveRun    bool      // a target may have run the request
-	failedTargets []string  // IDs of targets that should not be selected again
-	retryCause    string    // why the next attempt is a retry, as in Retry
+	unresumable    atomic.Bool
+	events         int       // number of events sent to the caller
+	attemptEvents  int       // those of the latest attempt
+	sentAt         time.Time // when the latest attempt was sent; zero if there was none
+	attempts       int       // as in Outcome
+	refusedResumes int       // attempts to resume the stream that a target did not run
+	mayHaveRun     bool      // a target may have run the request
+	failedTargets  []string  // IDs of targets that should not be selected again
+	retryCause     string    // why the next attempt is a retry, as in Retry
 	// holdsRetry is set while a retry has been withdrawn for the request and not been sent. Moves set it too.
 	holdsRetry atomic.Bool
 	outcome    Outcome
@@ -307,9 +308,9 @@
 	if r.sent && r.mayHaveRun && !c.route.MayRepeat() {
 		return false
 	}
-	maxAttempts := max(c.route.MaxAttempts, 1)
+	maxAttempts, attempts := max(c.route.MaxAttempts, 1), c.attempts-c.refusedResumes
 	// After maxAttempts attempts, another target is tried only if the last was not reached.
-	if c.attempts >= maxAttempts && (r.sent || c.attempts > maxAttempts) {
+	if attempts >= maxAttempts && (r.sent || attempts > maxAttempts) {
 		return false
 	}
 	const maxUnreached = 4 // targets beyond maxAttempts that may fail, because an unreached target does not count as an attempt
@@ -338,7 +339,7 @@
 			return registry.Target{}, noGrant, &refusal{http.StatusServiceUnavailable, "no_place", grant.retryAfter}
 		}
 		if grant.engine != "" {
-			if t, ok := rl.readyTargetAt(c, grant.engine); ok {
+			if t, ok := rl.readyTargetAt(c, grant.engine); ok && !slices.Contains(c.failedTargets, t.ID) {
 				return t, grant, nil
 			}
 			grant.release()
