Send the refusal of a body that is late at once

What callers saw: a refusal a second late, and none where the entry stopped within that second.

Cause: once a handler has returned, the rest of a body got a second to come, also where the handler had ended the reading before.

Why it works: an earlier deadline stays. TestRefusalOfLateBodyIsSentAtOnce failed before (i/o timeout).

--- a/parts/daemon/limits_test.go
+++ b/parts/daemon/limits_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"camphormill.dev/parts/bytebudget"
 	"camphormill.dev/parts/daemon"
@@ -178,3 +180,24 @@
 	is.NoErr(err)
 	is.Equal(body, "done")
 }
+
+// TestRefusalOfLateBodyIsSentAtOnce guards against a refusal that waits for the rest of a body whose time is over.
+func TestRefusalOfLateBodyIsSentAtOnce(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewServer(&http.Server{}, daemon.Limits{})
+	go func() {
+		_ = server.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			_, err := io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprint(w, errors.Is(err, os.ErrDeadlineExceeded))
+		}))
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := dial(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond)))
+	body, err := readBody(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.Equal(body, "true")
+}
--- a/parts/daemon/server.go
+++ b/parts/daemon/server.go
@@ -558,13 +558,14 @@
 }
 
 // endHandler notes that a handler has returned. The HTTP server discards what has not come of the body, before it sends the
-// response.
+// response. A deadline that the handler has set and that comes earlier stays.
 func (c *trackedConn) endHandler() {
+	until := time.Now().Add(discardTime)
 	c.mu.Lock()
-	pending := !c.bodyUntil.IsZero()
+	extends := c.bodyUntil.IsZero() || (!c.deadline.IsZero() && c.deadline.Before(until))
 	c.mu.Unlock()
-	if pending {
-		_ = c.SetReadDeadline(time.Now().Add(discardTime)) // fails only on a closed connection
+	if !extends {
+		_ = c.SetReadDeadline(until) // fails only on a closed connection
 	}
 }
 
