--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -43,6 +43,7 @@
 	subnet  string
 	store   *store
 	started time.Time
+	idle    []net.Conn // channels that nothing is sent on
 	http    *http.Server
 
 	mu        sync.Mutex
--- a/review/standins-2/streams.go
+++ b/review/standins-2/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -115,21 +116,51 @@
 
 // playPaused kills a server that has turned requests away with Retry-After, while it still sends streams.
 func playPaused(r *run) (bool, error) {
-	return r.crashServer(42, "-slots=4", "-retry-after=3")
+	return r.crashServer(0, 42, "-slots=4", "-retry-after=3")
 }
 
+// idleChannels are the channels that other callers keep open to each server, of the 248 that it accepts. 18 entries keep up
+// to 72.
+const idleChannels = 40
+
 // playCrash kills a server while it still sends streams.
 func playCrash(r *run) (bool, error) {
-	return r.crashServer(84, "-slots=12")
+	return r.crashServer(idleChannels, 42, "-slots=12")
+}
+
+// openIdle opens channels to the servers, as other callers do, and keeps them open.
+func (r *run) openIdle(channels int) error {
+	for n := range serverIDs {
+		if err := r.openIdleTo(101+n, channels); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) openIdleTo(host, channels int) error {
+	for range channels {
+		conn, err := net.DialTimeout("tcp", r.address(host, serverPort), time.Second)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.idle = append(r.idle, conn)
+		r.mu.Unlock()
+	}
+	return nil
 }
 
 // crashServer sends streams and kills one of the servers meanwhile.
-func (r *run) crashServer(streamCount int, args ...string) (bool, error) {
+func (r *run) crashServer(idle, streamCount int, args ...string) (bool, error) {
 	servers, registrations, err := r.startStreamFleet(serverIDs, args...)
 	if err != nil {
 		return false, err
 	}
 	defer endAll(registrations)
+	if err := r.openIdle(idle); err != nil {
+		return false, err
+	}
 	sent := &streams{run: r}
 	sent.sendMany(streamCount)
 	if r.trouble {
