--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -92,6 +92,10 @@
 	defer s.release()
 	s.tell(serverEvent{Kind: "run", Attempt: attempt, Tenant: r.Header.Get("Tenant")})
 	w.Header().Set("Response-Seal", "seal."+attempt)
+	if r.URL.Path == exportPath {
+		s.export(w, attempt)
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/lohu930/") {
 		body := "answer of " + attempt
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -102,6 +106,21 @@
 	s.stream(w, r, attempt)
 }
 
+// export sends a large answer as it is made.
+func (s *server) export(w http.ResponseWriter, attempt string) {
+	const parts = 50
+	w.Header().Set("Content-Length", strconv.Itoa(exportBytes))
+	for range parts {
+		if _, err := w.Write(make([]byte, exportBytes/parts)); err != nil {
+			s.tell(serverEvent{Kind: "broken", Attempt: attempt})
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(exportTime / parts)
+	}
+	s.tell(serverEvent{Kind: "done", Attempt: attempt})
+}
+
 // stream sends the events of a stream, from the one after Last-Event-Id.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, attempt string) {
 	first := 1
