--- a/review/standins-2/group.go
+++ b/review/standins-2/group.go
@@ -182,13 +182,13 @@
 		again = ""
 		switch {
 		case request.URL.Path == "/api/report":
-			writeAnswer(conn, http.StatusOK, g.report(rank))
+			writeAnswer(conn, request, http.StatusOK, g.report(rank))
 		case request.URL.Path == "/api/picked":
-			writeAnswer(conn, http.StatusOK, g.picked(rank, request.URL.Query().Has("lists")))
+			writeAnswer(conn, request, http.StatusOK, g.picked(rank, request.URL.Query().Has("lists")))
 		case request.URL.Path == "/api/order":
 			var o order
 			if err := json.Unmarshal(body, &o); err != nil {
-				writeAnswer(conn, http.StatusBadRequest, nil)
+				writeAnswer(conn, request, http.StatusBadRequest, nil)
 				continue
 			}
 			if g.isLate(rank, o) {
@@ -201,9 +201,9 @@
 			}
 			status := g.apply(rank, o)
 			if g.isRepeated(o, status) {
-				again = answerText(status, nil)
+				again = answerText(request, status, nil)
 			}
-			writeAnswer(conn, status, nil)
+			writeAnswer(conn, request, status, nil)
 		default:
 			if !g.stream(conn, rank, request) {
 				return
@@ -241,12 +241,17 @@
 	return true
 }
 
-func answerText(status int, body []byte) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+// answerText returns an answer, which echoes the Attempt-Id of its request if there is one.
+func answerText(request *http.Request, status int, body []byte) string {
+	echo := ""
+	if attempt := request.Header.Get("Attempt-Id"); attempt != "" {
+		echo = "Attempt-Id: " + attempt + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), echo, len(body), body)
 }
 
-func writeAnswer(conn net.Conn, status int, body []byte) {
-	_, _ = io.WriteString(conn, answerText(status, body))
+func writeAnswer(conn net.Conn, request *http.Request, status int, body []byte) {
+	_, _ = io.WriteString(conn, answerText(request, status, body))
 }
 
 func orNull(n, none int64) any {
