--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -40,6 +42,13 @@
 		return exitNotRun
 	}
 	defer r.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		r.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(r)
 	switch {
 	case err != nil:
