--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-(cd review/standins-2 && GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-standins .)
+(cd review/standins-2 && GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o ../../target/review-standins .)
